--- /dev/null
+++ b/Makefile
@@ -0,0 +1,35 @@
+# Targets for users and developers. See README.md.
+SEED ?= 1
+GO ?= go
+
+.PHONY: build test lint fmt up demo bench soak ci generate
+
+build:
+	$(GO) build -o bin/ ./cmd/...
+
+test:
+	CITRON_SEED=$(SEED) $(GO) test ./... -count=1 -timeout 20m
+
+lint:
+	./scripts/lint.sh
+
+fmt:
+	./scripts/fmt.sh
+
+up: build
+	./scripts/up.sh
+
+demo: build
+	./scripts/demo.sh
+
+bench: build
+	./scripts/bench.sh
+
+soak:
+	./scripts/soak.sh
+
+ci:
+	bash .ci/run
+
+generate:
+	./scripts/generate.sh
--- /dev/null
+++ b/event/catalogue.go
@@ -0,0 +1,62 @@
+package event
+
+import "github.com/phuslu/log"
+
+// Events of the process: 1xx.
+var (
+	ProcessStarting = Event{100, "process starting", log.InfoLevel, "The process read its settings and opens its listeners.", ""}
+	ProcessReady    = Event{101, "process ready", log.InfoLevel, "A configuration is in force and the host admits requests.", ""}
+	ProcessLeaving  = Event{102, "process leaving", log.InfoLevel, "A planned stop began; nothing new is admitted.", ""}
+	ProcessStopped  = Event{103, "process stopped", log.InfoLevel, "Nothing is in flight and the process ends.", ""}
+	ProcessPaused   = Event{104, "process paused", log.WarnLevel, "The process did not run for the time given and judged its state anew.", "Look for an overloaded or frozen machine."}
+)
+
+// Events of requests: 2xx.
+var (
+	RequestAdmitted = Event{200, "request admitted", log.DebugLevel, "A request passed its checks.", ""}
+	RequestFinished = Event{201, "request finished", log.InfoLevel, "A request ended whole.", ""}
+	RequestRefused  = Event{202, "request refused", log.InfoLevel, "A request was refused and not run.", "Look up the code."}
+	RequestFailed   = Event{203, "request failed", log.WarnLevel, "A request failed after it was sent to an upstream.", "Run citronctl trace with the request identifier."}
+	AttemptStarted  = Event{210, "attempt started", log.DebugLevel, "A request is sent to an upstream.", ""}
+	AttemptFailed   = Event{211, "attempt failed", log.WarnLevel, "An attempt ended without a whole answer.", "Look at the upstream that the line names."}
+	AttemptRetried  = Event{212, "attempt retried", log.InfoLevel, "The request goes to another upstream.", ""}
+)
+
+// Events of configuration: 3xx.
+var (
+	ConfigAccepted   = Event{300, "configuration accepted", log.InfoLevel, "A newer revision is in force.", ""}
+	ConfigRejected   = Event{301, "configuration rejected", log.ErrorLevel, "A published document is invalid; the last good one stays.", "Run citronctl config check on the document."}
+	ConfigOlder      = Event{302, "configuration older", log.WarnLevel, "The service offers an older revision than the one in force.", "Publish the wanted document under a higher revision."}
+	ConfigSourceDown = Event{303, "configuration source down", log.WarnLevel, "The configuration service can't be read.", "Hosts go on with the revision in force; check the service."}
+	ConfigSourceBack = Event{304, "configuration source back", log.InfoLevel, "The configuration service answers again.", ""}
+)
+
+// Events of membership: 4xx.
+var (
+	PeerJoined  = Event{400, "peer joined", log.InfoLevel, "A peer host was heard for the first time in this incarnation.", ""}
+	PeerSuspect = Event{401, "peer suspect", log.WarnLevel, "A peer host does not answer.", "Check the host and the network between the failure domains."}
+	PeerLost    = Event{402, "peer lost", log.WarnLevel, "A peer host is counted as failed.", "Check the host."}
+	PeerLeaving = Event{403, "peer leaving", log.InfoLevel, "A peer host began a planned stop.", ""}
+)
+
+// Events of upstreams: 5xx.
+var (
+	UpstreamUp          = Event{500, "upstream up", log.InfoLevel, "An upstream answers its report.", ""}
+	UpstreamDown        = Event{501, "upstream down", log.WarnLevel, "An upstream does not answer its report.", "Check the upstream."}
+	UpstreamLeaving     = Event{502, "upstream leaving", log.InfoLevel, "An upstream is leaving and gets no new work.", ""}
+	UpstreamReclaimed   = Event{503, "upstream memory reclaimed", log.WarnLevel, "Streams or memory that outlived their deadline or holder were cancelled.", ""}
+	UpstreamOrdered     = Event{504, "upstream ordered", log.InfoLevel, "An order was sent to an engine.", ""}
+	UpstreamOrderFailed = Event{505, "upstream order failed", log.WarnLevel, "An engine refused or missed an order.", "Compare the fencing numbers with citronctl upstreams."}
+	ContentStruck       = Event{506, "content struck", log.WarnLevel, "An upstream crashed while it ran this content.", "Run citronctl trace with the request identifier."}
+	ContentQuarantined  = Event{507, "content quarantined", log.ErrorLevel, "Content crashed upstreams repeatedly and is refused.", "Ask the team not to send it again."}
+)
+
+var catalogue = []Event{
+	ProcessStarting, ProcessReady, ProcessLeaving, ProcessStopped, ProcessPaused,
+	RequestAdmitted, RequestFinished, RequestRefused, RequestFailed,
+	AttemptStarted, AttemptFailed, AttemptRetried,
+	ConfigAccepted, ConfigRejected, ConfigOlder, ConfigSourceDown, ConfigSourceBack,
+	PeerJoined, PeerSuspect, PeerLost, PeerLeaving,
+	UpstreamUp, UpstreamDown, UpstreamLeaving, UpstreamReclaimed, UpstreamOrdered,
+	UpstreamOrderFailed, ContentStruck, ContentQuarantined,
+}
