--- a/code/code.go
+++ b/code/code.go
@@ -61,10 +61,12 @@
 	PeerForbidden       Code = 1023
 	KeyTableFull        Code = 1024
 	NotFound            Code = 1025
-	SettingsInvalid     Code = 1901
-	ConfigInvalid       Code = 1902
-	UsageInvalid        Code = 1903
-	ChartInvalid        Code = 1904
+	// CallerGoneBeforeStart is CallerGone before any upstream got the request.
+	CallerGoneBeforeStart Code = 1026
+	SettingsInvalid       Code = 1901
+	ConfigInvalid         Code = 1902
+	UsageInvalid          Code = 1903
+	ChartInvalid          Code = 1904
 )
 
 // Codes of requests that may have run.
