keyed: each copy is decided once, proved against the record of the service

TestRunsAtMostOnce and TestRunsAtMostOnceLong drive three issuers with forwards that are lost, doubled and reordered, kills with a new incarnation, freezes, partitions, clock steps, full tables, forged and foreign keys. What the service ran is the oracle: at most once for a key, never for a copy that was told 'not run', exactly once after 'ran'.

A window of decided request sequences per entry host now refuses the duplicate with KeyOutcomeUnknown. Remembering refused copies in the key table was ruled out: a copy that met a full table would have no place in it.

--- a/keyed/decision.go
+++ b/keyed/decision.go
@@ -26,7 +26,7 @@
 	// Run: this copy holds the right to be sent. The caller of Begin asks
 	// Sending right before the send and reports the end with Finish.
 	Run Kind = iota + 1
-	// Attach: another copy runs. Wait until it finished and call Begin again.
+	// Attach: another copy runs. Wait until it finished and call BeginAgain.
 	Attach
 	// Replay: the call ran before; answer with the recorded outcome.
 	Replay
@@ -73,9 +73,19 @@
 
 const outcomeOverheadBytes = 256
 
-// Begin decides about a copy of a call. It never says Run for a key while an
-// earlier copy holds a ticket or may have run.
+// Begin decides about a copy of a call when it arrives. It never says Run for
+// a key while an earlier copy holds a ticket or may have run. A copy that the
+// network delivers twice is decided once; the second time its outcome is
+// unknown.
 func (i *Issuer) Begin(now time.Time, call Call) Decision {
+	if !i.replays.admit(i.advance(now), call.Request, i.options.Lifetime) {
+		return refuse(code.New(code.KeyOutcomeUnknown, "%s was decided before", call.Request))
+	}
+	return i.BeginAgain(now, call)
+}
+
+// BeginAgain decides about a copy that was attached to one that finished.
+func (i *Issuer) BeginAgain(now time.Time, call Call) Decision {
 	i.forgetExpired(i.advance(now))
 	key, err := i.Verify(now, call.Team, call.Key)
 	if err != nil {
--- a/keyed/issuer.go
+++ b/keyed/issuer.go
@@ -36,6 +36,7 @@
 	expiry   expiryHeap
 	teamKeys map[string]int // used keys by team tag
 	answers  answerList
+	replays  replayGuard
 }
 
 // New returns an issuer that has issued no key.
@@ -45,6 +46,7 @@
 		table:    make(map[uint64]*entry),
 		teamKeys: make(map[string]int),
 		answers:  newAnswerList(),
+		replays:  replayGuard{windows: make(map[origin]*window)},
 	}
 }
 
--- /dev/null
+++ b/keyed/replay.go
@@ -0,0 +1,89 @@
+package keyed
+
+import (
+	"time"
+
+	"github.com/citronscale/citronscale/ident"
+)
+
+const (
+	wordBits = 64
+	// replayWindow is the number of requests of one entry host that can
+	// overtake each other on their way to the issuer.
+	replayWindow = 8192
+	// MaxOrigins bounds the entry host incarnations tracked at once.
+	MaxOrigins = 4096
+)
+
+// origin is an incarnation of an entry host.
+type origin struct {
+	host        ident.Host
+	incarnation ident.Incarnation
+}
+
+// replayGuard decides each copy once: a copy that was told "not run" must not
+// run when the network delivers it a second time.
+type replayGuard struct {
+	windows map[origin]*window
+}
+
+// window remembers which of the latest requests of one origin were decided.
+type window struct {
+	highest uint64
+	decided [replayWindow / wordBits]uint64
+	last    time.Time
+}
+
+// admit notes a copy and reports whether it is the first of its identifier. A
+// copy that can't be tracked is not admitted. An origin is forgotten after the
+// lifetime of a key: by then every key that it sent here has expired.
+func (g *replayGuard) admit(now time.Time, request ident.Request, lifetime time.Duration) bool {
+	from := origin{request.Host, request.Incarnation}
+	known, ok := g.windows[from]
+	if !ok {
+		if len(g.windows) >= MaxOrigins {
+			g.forgetIdle(now, lifetime)
+		}
+		if len(g.windows) >= MaxOrigins {
+			return false
+		}
+		known = &window{}
+		g.windows[from] = known
+	}
+	known.last = now
+	return known.admit(request.Sequence)
+}
+
+func (g *replayGuard) forgetIdle(now time.Time, lifetime time.Duration) {
+	for from, known := range g.windows {
+		if now.Sub(known.last) >= lifetime {
+			delete(g.windows, from)
+		}
+	}
+}
+
+func (w *window) admit(sequence uint64) bool {
+	if sequence+replayWindow <= w.highest {
+		return false
+	}
+	for ; w.highest < sequence; w.highest++ {
+		if sequence-w.highest > replayWindow {
+			w.highest = sequence - replayWindow
+		}
+		w.clear(w.highest + 1)
+	}
+	word, bit := position(sequence)
+	first := w.decided[word]&bit == 0
+	w.decided[word] |= bit
+	return first
+}
+
+func (w *window) clear(sequence uint64) {
+	word, bit := position(sequence)
+	w.decided[word] &^= bit
+}
+
+func position(sequence uint64) (word int, bit uint64) {
+	slot := sequence % replayWindow
+	return int(slot / wordBits), 1 << (slot % wordBits)
+}
--- /dev/null
+++ b/keyed/world_test.go
@@ -0,0 +1,391 @@
+package keyed
+
+import (
+	"fmt"
+	"strconv"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/citronscale/citronscale/code"
+	"github.com/citronscale/citronscale/ident"
+)
+
+const (
+	testHosts    = 3
+	testLifetime = 30 * time.Second
+	testDeadline = 5 * time.Second
+	testFewKeys  = 3
+	testMaxKeys  = 1000
+	testMaxBytes = 3 * 300
+)
+
+// chooser decides what happens next: rapid in the proofs, a seeded generator
+// in the measurement.
+type chooser interface {
+	pick(label string, n int) int
+}
+
+// faults says which faults a history may hold.
+type faults struct {
+	kill, freeze, cut, lose, duplicate, clocks, hostile bool
+
+	service bool // the service refuses calls and loses answers
+	slow    bool // copies wait past their deadlines
+	full    bool // the table holds few keys
+}
+
+// world holds the decision states of three hosts, the undelivered messages
+// between them and one plain service, whose record is the oracle.
+type world struct {
+	t      assert.TestingT
+	choose chooser
+	faults faults
+
+	now      time.Time
+	hosts    []*testHost
+	cut      [testHosts][testHosts]bool
+	wire     []wireCall
+	services []*task // calls on their way to the service
+	keys     []issuedKey
+	copies   []*callCopy
+	runs     map[string][]ident.Request // what the service ran, by key
+	bodies   map[string]string          // what the service answered, by key
+	answers  map[code.Code]int
+	injected int // faults so far
+	sequence uint64
+	secrets  byte
+}
+
+type testHost struct {
+	index       int
+	incarnation ident.Incarnation
+	issuer      *Issuer
+	frozen      bool
+	offset      time.Duration // of the clock
+	tasks       []*task
+	waiting     []*callCopy
+}
+
+type issuedKey struct {
+	text, team string
+}
+
+type callCopy struct {
+	call    Call
+	genuine bool // the key is genuine and used by its own team
+	answers []code.Code
+}
+
+// wireCall is a copy on its way to a host.
+type wireCall struct {
+	copy        *callCopy
+	from, to    int // from is negative for callers
+	incarnation ident.Incarnation
+}
+
+// task is a copy that holds a ticket.
+type task struct {
+	copy    *callCopy
+	ticket  Ticket
+	sent    bool
+	outcome *Outcome
+}
+
+func newWorld(t assert.TestingT, choose chooser, f faults) *world {
+	w := &world{
+		t: t, choose: choose, faults: f, now: time.UnixMilli(1_000_000),
+		runs: map[string][]ident.Request{}, bodies: map[string]string{}, answers: map[code.Code]int{},
+	}
+	for index := range testHosts {
+		w.hosts = append(w.hosts, &testHost{index: index})
+		w.restart(w.hosts[index])
+	}
+	return w
+}
+
+func hostName(index int) ident.Host {
+	return ident.Host("host-" + strconv.Itoa(index))
+}
+
+// restart replaces the process of a host; nothing of the old one is left.
+func (w *world) restart(h *testHost) {
+	w.secrets++
+	*h = testHost{index: h.index, incarnation: h.incarnation + 1, offset: h.offset}
+	maxKeys := testMaxKeys
+	if w.faults.full {
+		maxKeys = testFewKeys
+	}
+	h.issuer = New(Options{
+		Host: hostName(h.index), Incarnation: h.incarnation, Secret: Secret{w.secrets}, Lifetime: testLifetime,
+		MaxKeys: maxKeys, MaxTeamKeys: maxKeys - 1, MaxOutcomeBytes: testMaxBytes, MaxAnswerBytes: testMaxBytes,
+	})
+}
+
+func (w *world) clock(h *testHost) time.Time {
+	return w.now.Add(h.offset)
+}
+
+// step does one random thing.
+func (w *world) step() {
+	steps := []func(){w.issue, w.call, w.call, w.deliver, w.deliver, w.deliver, w.work, w.work, w.work, w.serve, w.serve, w.tick}
+	add := func(enabled bool, fault func()) {
+		if enabled {
+			steps = append(steps, func() { w.injected++; fault() })
+		}
+	}
+	add(w.faults.kill, w.kill)
+	add(w.faults.freeze, w.freeze)
+	add(w.faults.cut, w.toggleCut)
+	add(w.faults.lose, w.lose)
+	add(w.faults.duplicate, w.duplicate)
+	add(w.faults.clocks, w.stepClock)
+	add(w.faults.hostile, w.hostileCall)
+	steps[w.choose.pick("step", len(steps))]()
+	w.checkBounds()
+}
+
+func (w *world) host(label string) *testHost {
+	return w.hosts[w.choose.pick(label, len(w.hosts))]
+}
+
+func (w *world) issue() {
+	h := w.host("issuer")
+	if h.frozen {
+		return
+	}
+	team := "team-" + strconv.Itoa(w.choose.pick("team", 2))
+	keys, err := h.issuer.Issue(w.clock(h), team, 1)
+	assert.NilError(w.t, err)
+	w.keys = append(w.keys, issuedKey{keys[0], team})
+}
+
+// call sends a copy with a recent key, new or used, through any host.
+func (w *world) call() {
+	if len(w.keys) == 0 {
+		return
+	}
+	recent := w.keys[max(0, len(w.keys)-4):]
+	key := recent[w.choose.pick("key", len(recent))]
+	w.send(key.text, key.team, true)
+}
+
+func (w *world) hostileCall() {
+	if len(w.keys) == 0 {
+		return
+	}
+	key := w.keys[w.choose.pick("key", len(w.keys))]
+	if w.choose.pick("foreign", 2) == 0 {
+		w.send(key.text, "team-9", false)
+		return
+	}
+	text := []byte(key.text)
+	text[w.choose.pick("byte", len(text))] ^= byte(1 + w.choose.pick("bits", 7))
+	w.send(string(text), key.team, false)
+}
+
+func (w *world) send(key, team string, genuine bool) {
+	w.sequence++
+	entry := w.choose.pick("entry", testHosts)
+	other := w.faults.hostile && w.choose.pick("body", 8) == 0
+	copied := &callCopy{genuine: genuine, call: Call{
+		Request: ident.Request{Host: hostName(entry), Incarnation: 1, Sequence: w.sequence},
+		Team:    team, Key: key,
+		Digest:   DigestOf("booking", "POST", "/rooms", []byte(strconv.FormatBool(other))),
+		Deadline: w.now.Add(testDeadline),
+	}}
+	w.copies = append(w.copies, copied)
+	w.wire = append(w.wire, wireCall{copy: copied, from: -1, to: entry})
+}
+
+func (w *world) deliver() {
+	if len(w.wire) == 0 {
+		return
+	}
+	at := w.choose.pick("message", len(w.wire))
+	message := w.wire[at]
+	to := w.hosts[message.to]
+	if to.frozen || (message.from >= 0 && w.cut[message.from][message.to]) {
+		return // stays on its way
+	}
+	w.wire = append(w.wire[:at], w.wire[at+1:]...)
+	switch {
+	case message.from < 0:
+		w.arrive(to, message.copy)
+	case message.incarnation != to.incarnation:
+		w.answer(message.copy, code.KeyIssuerLost)
+	default:
+		w.follow(to, message.copy, to.issuer.Begin(w.clock(to), message.copy.call))
+	}
+}
+
+// arrive is the entry host: it decides where the key belongs.
+func (w *world) arrive(h *testHost, c *callCopy) {
+	route, err := h.issuer.Route(c.call.Key)
+	if err != nil {
+		w.answer(c, code.Of(err))
+		return
+	}
+	if route.Own {
+		w.follow(h, c, h.issuer.Begin(w.clock(h), c.call))
+		return
+	}
+	for _, to := range w.hosts {
+		if hostName(to.index) != route.Host {
+			continue
+		}
+		if w.cut[h.index][to.index] {
+			break
+		}
+		w.wire = append(w.wire, wireCall{copy: c, from: h.index, to: to.index, incarnation: route.Incarnation})
+		return
+	}
+	w.answer(c, code.KeyIssuerLost)
+}
+
+func (w *world) follow(h *testHost, c *callCopy, decision Decision) {
+	switch decision.Kind {
+	case Run:
+		assert.Assert(w.t, c.genuine, "a forged or foreign key runs: %s", c.call.Key)
+		h.tasks = append(h.tasks, &task{copy: c, ticket: decision.Ticket})
+	case Attach:
+		h.waiting = append(h.waiting, c)
+	case Replay:
+		assert.Equal(w.t, string(decision.Outcome.Body), w.bodies[c.call.Key])
+		w.answer(c, decision.Outcome.Code)
+	case Refuse:
+		w.answer(c, code.Of(decision.Err))
+	}
+}
+
+// work lets a host go on with one copy that holds a ticket.
+func (w *world) work() {
+	h := w.host("worker")
+	if h.frozen || len(h.tasks) == 0 {
+		return
+	}
+	at := w.choose.pick("task", len(h.tasks))
+	current := h.tasks[at]
+	switch {
+	case !current.sent:
+		w.sending(h, at)
+	case current.outcome != nil:
+		w.finish(h, at, *current.outcome)
+	}
+}
+
+func (w *world) sending(h *testHost, at int) {
+	current := h.tasks[at]
+	if err := h.issuer.Sending(w.clock(h), current.ticket); err != nil {
+		w.finish(h, at, Outcome{Code: code.Of(err)})
+		return
+	}
+	assert.Assert(w.t, w.clock(h).Before(current.copy.call.Deadline), "sent after the deadline")
+	current.sent = true
+	w.services = append(w.services, current)
+}
+
+func (w *world) finish(h *testHost, at int, outcome Outcome) {
+	current := h.tasks[at]
+	h.tasks = append(h.tasks[:at], h.tasks[at+1:]...)
+	assert.NilError(w.t, h.issuer.Finish(w.clock(h), current.ticket, outcome))
+	w.answer(current.copy, outcome.Code)
+	waiting := h.waiting
+	h.waiting = nil
+	for _, c := range waiting {
+		w.follow(h, c, h.issuer.BeginAgain(w.clock(h), c.call))
+	}
+}
+
+// serve lets the service take, refuse or lose one call that was sent, whether
+// or not its sender still lives.
+func (w *world) serve() {
+	if len(w.services) == 0 {
+		return
+	}
+	at := w.choose.pick("service", len(w.services))
+	current := w.services[at]
+	w.services = append(w.services[:at], w.services[at+1:]...)
+	key := current.copy.call.Key
+	end := 2
+	if w.faults.service {
+		end = w.choose.pick("end", 10)
+	}
+	switch end {
+	case 0:
+		current.outcome = &Outcome{Code: code.UpstreamUnavailable}
+		return
+	case 1:
+		current.outcome = &Outcome{Code: code.UpstreamLost}
+		if w.choose.pick("ran", 2) == 0 {
+			return
+		}
+	default:
+		w.bodies[key] = fmt.Sprintf("done for %s", current.copy.call.Request)
+		current.outcome = &Outcome{Code: code.OK, Status: 200, Body: []byte(w.bodies[key])}
+	}
+	w.runs[key] = append(w.runs[key], current.copy.call.Request)
+	assert.Assert(w.t, len(w.runs[key]) <= 1, "the service ran key %s as %v", key, w.runs[key])
+}
+
+func (w *world) tick() {
+	longest := 100
+	if w.faults.slow {
+		longest = 3000
+	}
+	w.now = w.now.Add(time.Duration(1+w.choose.pick("tick", longest)) * time.Millisecond)
+}
+
+func (w *world) answer(c *callCopy, result code.Code) {
+	c.answers = append(c.answers, result)
+	w.answers[result]++
+	if result == code.OK || result.Outcome() == code.Ran {
+		assert.Equal(w.t, len(w.runs[c.call.Key]), 1, "%s says that the call ran", result.Name())
+	}
+}
+
+func (w *world) checkBounds() {
+	for _, h := range w.hosts {
+		assert.Assert(w.t, h.issuer.Used() <= h.issuer.options.MaxKeys)
+		assert.Assert(w.t, h.issuer.AnswerBytes() <= testMaxBytes)
+	}
+}
+
+// settle ends all faults, lets everything go on and checks what the callers
+// were told against the record of the service.
+func (w *world) settle() {
+	for _, h := range w.hosts {
+		h.frozen = false
+	}
+	w.cut = [testHosts][testHosts]bool{}
+	for len(w.wire) > 0 {
+		w.deliver()
+	}
+	for w.busy() {
+		w.work()
+		w.serve()
+	}
+	for _, c := range w.copies {
+		w.checkAnswers(c)
+	}
+}
+
+func (w *world) busy() bool {
+	for _, h := range w.hosts {
+		if len(h.tasks) > 0 {
+			return true
+		}
+	}
+	return len(w.services) > 0
+}
+
+func (w *world) checkAnswers(c *callCopy) {
+	for _, result := range c.answers {
+		if result == code.OK || result.Outcome() != code.NotRun {
+			continue
+		}
+		for _, run := range w.runs[c.call.Key] {
+			assert.Assert(w.t, run != c.call.Request, "%s was told %s and ran", c.call.Request, result.Name())
+		}
+	}
+}
