Choices of seeded and drawn histories in one place

The keyed tests held both choosers; the tests of the other decision packages need the same two. go test ./keyed is green with the same histories.

--- a/keyed/faults_test.go
+++ b/keyed/faults_test.go
@@ -14,11 +14,11 @@
 func (w *world) freeze() {
 	h := w.host("sleeper")
 	h.frozen = !h.frozen
-	w.now = w.now.Add(time.Duration(w.choose.pick("pause", 8000)) * time.Millisecond)
+	w.now = w.now.Add(time.Duration(w.choose.Pick("pause", 8000)) * time.Millisecond)
 }
 
 func (w *world) toggleCut() {
-	from, to := w.choose.pick("from", testHosts), w.choose.pick("to", testHosts)
+	from, to := w.choose.Pick("from", testHosts), w.choose.Pick("to", testHosts)
 	w.cut[from][to] = !w.cut[from][to]
 }
 
@@ -26,7 +26,7 @@
 	if len(w.wire) == 0 {
 		return
 	}
-	at := w.choose.pick("lost", len(w.wire))
+	at := w.choose.Pick("lost", len(w.wire))
 	lost := w.wire[at]
 	w.wire = append(w.wire[:at], w.wire[at+1:]...)
 	if lost.from >= 0 {
@@ -36,11 +36,11 @@
 
 func (w *world) duplicate() {
 	if len(w.wire) > 0 {
-		w.wire = append(w.wire, w.wire[w.choose.pick("doubled", len(w.wire))])
+		w.wire = append(w.wire, w.wire[w.choose.Pick("doubled", len(w.wire))])
 	}
 }
 
 // stepClock sets the clock of a host forward or back.
 func (w *world) stepClock() {
-	w.host("clock").offset = time.Duration(w.choose.pick("offset", 80)-40) * time.Second
+	w.host("clock").offset = time.Duration(w.choose.Pick("offset", 80)-40) * time.Second
 }
--- a/keyed/issuer_test.go
+++ b/keyed/issuer_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
-	"os"
 	"strconv"
 	"strings"
 	"testing"
@@ -14,30 +12,18 @@
 
 	"github.com/citronscale/citronscale/code"
 	"github.com/citronscale/citronscale/ident"
-	_ "github.com/citronscale/citronscale/internal/testseed"
+	"github.com/citronscale/citronscale/internal/testseed"
 )
 
 const historySteps = 150
 
-type rapidChooser struct{ t *rapid.T }
-
-func (c rapidChooser) pick(label string, n int) int {
-	return rapid.IntRange(0, n-1).Draw(c.t, label)
-}
-
-type seededChooser struct{ rng *rand.Rand }
-
-func (c seededChooser) pick(_ string, n int) int {
-	return c.rng.IntN(n)
-}
-
 var allFaults = faults{kill: true, freeze: true, cut: true, lose: true, duplicate: true, clocks: true, hostile: true, service: true, slow: true, full: true}
 
 // TestRunsAtMostOnce sends copies under the same keys through three hosts
 // under all faults. The record of the service is the oracle.
 func TestRunsAtMostOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		runHistory(t, rapidChooser{t}, allFaults)
+		runHistory(t, testseed.Drawn{T: t}, allFaults)
 	})
 }
 
@@ -47,20 +33,12 @@
 	const histories = 3000
 	for seed := range uint64(histories) {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
-			runHistory(t, seededChooser{rand.New(rand.NewPCG(baseSeed(), seed))}, allFaults)
+			runHistory(t, testseed.Seeded(seed), allFaults)
 		})
 	}
 }
 
-func baseSeed() uint64 {
-	seed, err := strconv.ParseUint(os.Getenv("CITRON_SEED"), 10, 64)
-	if err != nil {
-		return 1
-	}
-	return seed
-}
-
-func runHistory(t assert.TestingT, choose chooser, f faults) *world {
+func runHistory(t assert.TestingT, choose testseed.Chooser, f faults) *world {
 	w := newWorld(t, choose, f)
 	for range historySteps {
 		w.step()
@@ -96,7 +74,7 @@
 		total := map[code.Code]int{}
 		injected := 0
 		for seed := range uint64(histories) {
-			w := runHistory(t, seededChooser{rand.New(rand.NewPCG(baseSeed(), seed))}, row.f)
+			w := runHistory(t, testseed.Seeded(seed), row.f)
 			injected += w.injected
 			for result, count := range w.answers {
 				total[result] += count
--- a/keyed/world_test.go
+++ b/keyed/world_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/citronscale/citronscale/code"
 	"github.com/citronscale/citronscale/ident"
+	"github.com/citronscale/citronscale/internal/testseed"
 )
 
 const (
@@ -20,12 +21,6 @@
 	testMaxBytes = 3 * 300
 )
 
-// chooser decides what happens next: rapid in the proofs, a seeded generator
-// in the measurement.
-type chooser interface {
-	pick(label string, n int) int
-}
-
 // faults says which faults a history may hold.
 type faults struct {
 	kill, freeze, cut, lose, duplicate, clocks, hostile bool
@@ -39,7 +34,7 @@
 // between them and one plain service, whose record is the oracle.
 type world struct {
 	t      assert.TestingT
-	choose chooser
+	choose testseed.Chooser
 	faults faults
 
 	now      time.Time
@@ -92,7 +87,7 @@
 	outcome *Outcome
 }
 
-func newWorld(t assert.TestingT, choose chooser, f faults) *world {
+func newWorld(t assert.TestingT, choose testseed.Chooser, f faults) *world {
 	w := &world{
 		t: t, choose: choose, faults: f, now: time.UnixMilli(1_000_000),
 		runs: map[string][]ident.Request{}, bodies: map[string]string{}, answers: map[code.Code]int{},
@@ -141,12 +136,12 @@
 	add(w.faults.duplicate, w.duplicate)
 	add(w.faults.clocks, w.stepClock)
 	add(w.faults.hostile, w.hostileCall)
-	steps[w.choose.pick("step", len(steps))]()
+	steps[w.choose.Pick("step", len(steps))]()
 	w.checkBounds()
 }
 
 func (w *world) host(label string) *testHost {
-	return w.hosts[w.choose.pick(label, len(w.hosts))]
+	return w.hosts[w.choose.Pick(label, len(w.hosts))]
 }
 
 func (w *world) issue() {
@@ -154,7 +149,7 @@
 	if h.frozen {
 		return
 	}
-	team := "team-" + strconv.Itoa(w.choose.pick("team", 2))
+	team := "team-" + strconv.Itoa(w.choose.Pick("team", 2))
 	keys, err := h.issuer.Issue(w.clock(h), team, 1)
 	assert.NilError(w.t, err)
 	w.keys = append(w.keys, issuedKey{keys[0], team})
@@ -166,7 +161,7 @@
 		return
 	}
 	recent := w.keys[max(0, len(w.keys)-4):]
-	key := recent[w.choose.pick("key", len(recent))]
+	key := recent[w.choose.Pick("key", len(recent))]
 	w.send(key.text, key.team, true)
 }
 
@@ -174,20 +169,20 @@
 	if len(w.keys) == 0 {
 		return
 	}
-	key := w.keys[w.choose.pick("key", len(w.keys))]
-	if w.choose.pick("foreign", 2) == 0 {
+	key := w.keys[w.choose.Pick("key", len(w.keys))]
+	if w.choose.Pick("foreign", 2) == 0 {
 		w.send(key.text, "team-9", false)
 		return
 	}
 	text := []byte(key.text)
-	text[w.choose.pick("byte", len(text))] ^= byte(1 + w.choose.pick("bits", 7))
+	text[w.choose.Pick("byte", len(text))] ^= byte(1 + w.choose.Pick("bits", 7))
 	w.send(string(text), key.team, false)
 }
 
 func (w *world) send(key, team string, genuine bool) {
 	w.sequence++
-	entry := w.choose.pick("entry", testHosts)
-	other := w.faults.hostile && w.choose.pick("body", 8) == 0
+	entry := w.choose.Pick("entry", testHosts)
+	other := w.faults.hostile && w.choose.Pick("body", 8) == 0
 	copied := &callCopy{genuine: genuine, call: Call{
 		Request: ident.Request{Host: hostName(entry), Incarnation: 1, Sequence: w.sequence},
 		Team:    team, Key: key,
@@ -202,7 +197,7 @@
 	if len(w.wire) == 0 {
 		return
 	}
-	at := w.choose.pick("message", len(w.wire))
+	at := w.choose.Pick("message", len(w.wire))
 	message := w.wire[at]
 	to := w.hosts[message.to]
 	if to.frozen || (message.from >= 0 && w.cut[message.from][message.to]) {
@@ -264,7 +259,7 @@
 	if h.frozen || len(h.tasks) == 0 {
 		return
 	}
-	at := w.choose.pick("task", len(h.tasks))
+	at := w.choose.Pick("task", len(h.tasks))
 	current := h.tasks[at]
 	switch {
 	case !current.sent:
@@ -303,13 +298,13 @@
 	if len(w.services) == 0 {
 		return
 	}
-	at := w.choose.pick("service", len(w.services))
+	at := w.choose.Pick("service", len(w.services))
 	current := w.services[at]
 	w.services = append(w.services[:at], w.services[at+1:]...)
 	key := current.copy.call.Key
 	end := 2
 	if w.faults.service {
-		end = w.choose.pick("end", 10)
+		end = w.choose.Pick("end", 10)
 	}
 	switch end {
 	case 0:
@@ -317,7 +312,7 @@
 		return
 	case 1:
 		current.outcome = &Outcome{Code: code.UpstreamLost}
-		if w.choose.pick("ran", 2) == 0 {
+		if w.choose.Pick("ran", 2) == 0 {
 			return
 		}
 	default:
@@ -333,7 +328,7 @@
 	if w.faults.slow {
 		longest = 3000
 	}
-	w.now = w.now.Add(time.Duration(1+w.choose.pick("tick", longest)) * time.Millisecond)
+	w.now = w.now.Add(time.Duration(1+w.choose.Pick("tick", longest)) * time.Millisecond)
 }
 
 func (w *world) answer(c *callCopy, result code.Code) {
