strike: content that crashes engines is singled out, its bound proved

Three registries exchange strikes over heartbeats that are lost, doubled and late, while the poison and four other contents run on six engines. Checked: no host loses more than one engine to an isolated copy; no other content is ever refused and all are cleared in the end; hosts that heard all agree; copies sent one after the other cost two engines (TestTwoEnginesAreLost).

A rule that three shared crashes convict was ruled out before the tests: three hosts that know of no strike can run an innocent content beside the poison on three engines at once. Content is refused only after a crash in an isolated run, and Crash is told so instead of a number of streams that the host can't know.

--- a/strike/registry.go
+++ b/strike/registry.go
@@ -35,14 +35,14 @@
 	return crashDigest(hash.Sum64())
 }
 
-// Crashes after which content is refused.
+// crashesToConvict is the number of crashes after which content is refused, if
+// it ran alone in one of them.
+const crashesToConvict = 2
+
+// Numbers of suspects that a strike names.
 const (
-	// CrashesAlone is the number of crashes that convict content if it ran
-	// alone in at least one of them.
-	CrashesAlone = 2
-	// CrashesShared is the number of crashes that convict content that never
-	// ran alone, because no engine could be had for it alone.
-	CrashesShared = 3
+	suspectsAlone  = 1 // the content had its engine for itself
+	suspectsShared = 2 // at least; other content ran there or may have
 )
 
 // Options are the settings of a Registry.
@@ -115,12 +115,15 @@
 }
 
 // Crash notes that an incarnation of an engine crashed while it ran the given
-// contents. The total counts all streams that the engine ran as far as this
-// host knows, those of other hosts included; it may be zero if unknown.
-func (r *Registry) Crash(now time.Time, name upstream.Name, incarnation uint64, running []Digest, total int) {
+// contents. Alone says that this host had the whole engine for one isolated
+// copy; otherwise other hosts may have run content there as well.
+func (r *Registry) Crash(now time.Time, name upstream.Name, incarnation uint64, running []Digest, alone bool) {
 	r.expire(now)
 	crash := crashOf(name, incarnation)
-	suspects := uint32(max(total, countDistinct(running)))
+	suspects := uint32(suspectsAlone)
+	if !alone || len(running) != 1 {
+		suspects = uint32(max(suspectsShared, countDistinct(running)))
+	}
 	for _, content := range running {
 		r.put(recordKey{content, crash}, record{time: now, suspects: suspects})
 	}
@@ -145,7 +148,7 @@
 	switch {
 	case crashes == 0:
 		return Allow
-	case alone && crashes >= CrashesAlone, crashes >= CrashesShared:
+	case alone && crashes >= crashesToConvict:
 		return Refuse
 	default:
 		return Isolate
@@ -161,7 +164,7 @@
 			continue
 		}
 		crashes++
-		if known.suspects <= 1 && len(r.byCrash[crash]) == 1 {
+		if known.suspects == suspectsAlone && len(r.byCrash[crash]) == 1 {
 			alone = true
 		}
 	}
