config: parse, authenticate and explain the published document

Defaults plus exceptions with a written reason; each fault names line, field and value. Parse is a pure function of the document, so all hosts of a build judge alike.

--- /dev/null
+++ b/config/config.go
@@ -0,0 +1,105 @@
+package config
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// FormatVersion is the value of the field "format" that this build reads.
+const FormatVersion = 1
+
+// MaxDocumentBytes is the largest document the configuration service holds.
+const MaxDocumentBytes = 1 << 20
+
+// Config is one accepted document. It is immutable.
+type Config struct {
+	Revision uint64
+	Digest   uint64 // xxhash of the document
+	Models   map[string]Model
+	Services map[string]Service
+
+	fleet      FleetPolicy
+	teamNames  []string               // sorted
+	teamTokens map[tokenDigest]uint32 // index into teamNames
+	defaults   values
+	stated     map[string]bool  // defaults that the document states
+	scoped     map[scope]values // values of all scopes with an exception
+	exceptions []exception
+}
+
+// Model describes one model that engines serve.
+type Model struct {
+	Version       string   // version that engines are to load
+	Replicas      int      // number of engines that are to serve the model
+	Role          string   // role that its engines take, such as "mixed"
+	ContextTokens uint32   // longest prompt plus answer
+	Adapters      []string // adapters that its engines are to load
+	Withdrawn     []string // versions that no engine may stay on
+}
+
+// Service describes one plain service.
+type Service struct {
+	// NonIdempotent lists the calls that must not be repeated.
+	NonIdempotent []CallPattern
+}
+
+// Digest returns the digest that identifies a document beside its revision.
+func Digest(document []byte) uint64 {
+	return xxhash.Sum64(document)
+}
+
+// Fleet returns the values that hold for the whole fleet.
+func (c *Config) Fleet() FleetPolicy {
+	return c.fleet
+}
+
+// Team returns the values that hold for the team: the defaults and its
+// exceptions.
+func (c *Config) Team(name string) TeamPolicy {
+	return c.valuesOf(scope{scopeTeam, name}).team()
+}
+
+// Model returns the values that hold for requests to the model.
+func (c *Config) Model(name string) ModelPolicy {
+	return c.valuesOf(scope{scopeModel, name}).model()
+}
+
+// Service returns the values that hold for calls to the plain service.
+func (c *Config) Service(name string) ServicePolicy {
+	return c.valuesOf(scope{scopeService, name}).service()
+}
+
+// Upstream returns the values that hold for the upstream.
+func (c *Config) Upstream(name string) UpstreamPolicy {
+	return c.valuesOf(scope{scopeUpstream, name}).upstream()
+}
+
+func (c *Config) valuesOf(s scope) values {
+	if v, ok := c.scoped[s]; ok {
+		return v
+	}
+	return c.defaults
+}
+
+// Authenticate returns the team that the token belongs to. It hashes the token
+// and looks the digest up, so its time depends neither on the number of teams
+// nor on how much of a wrong token is right.
+func (c *Config) Authenticate(token string) (team string, ok bool) {
+	index, ok := c.teamTokens[digestToken(token)]
+	if !ok {
+		return "", false
+	}
+	return c.teamNames[index], true
+}
+
+// TeamNames returns the names of all teams in ascending order.
+func (c *Config) TeamNames() []string {
+	return slices.Clone(c.teamNames)
+}
+
+// ModelNames returns the names of all models in ascending order.
+func (c *Config) ModelNames() []string {
+	return slices.Sorted(maps.Keys(c.Models))
+}
--- /dev/null
+++ b/config/parse.go
@@ -0,0 +1,107 @@
+package config
+
+import (
+	"maps"
+	"slices"
+	"strconv"
+	"sync"
+
+	"github.com/citronscale/citronscale/ident"
+)
+
+// Parse reads a published document. The error is a *FaultList.
+func Parse(revision uint64, data []byte) (*Config, error) {
+	p := &parser{config: &Config{Revision: revision, Digest: Digest(data)}}
+	p.lines = sync.OnceValue(func() lineIndex { return indexLines(data) })
+	if len(data) > MaxDocumentBytes {
+		p.addAt(0, "", strconv.Itoa(len(data)), "exceeds the document size of "+strconv.Itoa(MaxDocumentBytes)+" bytes")
+		return nil, p.list(revision)
+	}
+	doc, ok := decodeDocument(data, &p.faultCollector)
+	if ok {
+		p.read(&doc)
+	}
+	if list := p.list(revision); list != nil {
+		return nil, list
+	}
+	return p.config, nil
+}
+
+// parser builds one Config and gathers the faults on the way.
+type parser struct {
+	faultCollector
+	config *Config
+}
+
+func (p *parser) read(doc *document) {
+	if doc.Format != FormatVersion {
+		p.add(keyPath{"format"}, doc.Format, "is not the format %d that this build reads", FormatVersion)
+		return
+	}
+	p.readDefaults(doc.Defaults)
+	p.readTeams(doc.Teams)
+	p.readModels(doc.Models)
+	p.readServices(doc.Services)
+	p.readExceptions(doc.Exceptions)
+}
+
+func (p *parser) readDefaults(raw map[string]any) {
+	p.config.defaults = initialValues()
+	p.config.stated = make(map[string]bool, len(raw))
+	for _, name := range slices.Sorted(maps.Keys(raw)) {
+		path := keyPath{"defaults", name}
+		id, ok := fieldByName[name]
+		if !ok {
+			p.add(path, raw[name], "is not a known field")
+			continue
+		}
+		v, err := fields[id].read(raw[name])
+		if err != nil {
+			p.add(path, raw[name], "%s", err)
+			continue
+		}
+		p.config.defaults[id] = v
+		p.config.stated[name] = true
+	}
+	p.checkOrder(keyPath{"defaults"}, p.config.defaults)
+	p.config.fleet = p.config.defaults.fleet()
+}
+
+// checkOrder reports pairs of values that contradict each other.
+func (p *parser) checkOrder(path keyPath, v values) {
+	pairs := []struct{ low, high fieldID }{
+		{fieldShortMaxTokens, fieldLongMinTokens},
+		{fieldDefaultDeadline, fieldMaxDeadline},
+		{fieldHeartbeatPeriod, fieldSuspectTime},
+	}
+	for _, pair := range pairs {
+		if v[pair.low] > v[pair.high] {
+			low, high := fields[pair.low], fields[pair.high]
+			p.add(append(path[:len(path):len(path)], low.name), low.format(v[pair.low]),
+				"exceeds field %q with value %q", high.name, high.format(v[pair.high]))
+		}
+	}
+}
+
+func (p *parser) readTeams(teams map[string]string) {
+	names := slices.Sorted(maps.Keys(teams))
+	p.config.teamNames = names
+	p.config.teamTokens = make(map[tokenDigest]uint32, len(names))
+	for index, name := range names {
+		path := keyPath{"teams", name}
+		if !ident.ValidName(name) {
+			p.add(path, name, "is not a valid team name")
+			continue
+		}
+		digest, err := parseTokenDigest(teams[name])
+		if err != nil {
+			p.add(path, teams[name], "%s", err)
+			continue
+		}
+		if other, ok := p.config.teamTokens[digest]; ok {
+			p.add(path, teams[name], "is also the token digest of team %q", names[other])
+			continue
+		}
+		p.config.teamTokens[digest] = uint32(index)
+	}
+}
