config: keep the team table from the decoder's duplicate search

The team lines are read through the library's expression parser and blanked before the strict decode; lines and faults stay. Ruled out: an array of strings in place of the table (linear, but operators lose one line per team).

--- a/config/parse.go
+++ b/config/parse.go
@@ -5,8 +5,6 @@
 	"slices"
 	"strconv"
 	"sync"
-
-	"github.com/citronscale/citronscale/ident"
 )
 
 // Parse reads a published document. The error is a *FaultList.
@@ -17,9 +15,14 @@
 		p.addAt(0, "", strconv.Itoa(len(data)), "exceeds the document size of "+strconv.Itoa(MaxDocumentBytes)+" bytes")
 		return nil, p.list(revision)
 	}
-	doc, ok := decodeDocument(data, &p.faultCollector)
+	rest, teams, keys := extractTeams(data)
+	if keys > maxKeys {
+		p.addAt(0, "", strconv.Itoa(keys), "has more than "+strconv.Itoa(maxKeys)+" keys outside the table [teams]")
+		return nil, p.list(revision)
+	}
+	doc, ok := decodeDocument(rest, &p.faultCollector)
 	if ok {
-		p.read(&doc)
+		p.read(&doc, teams)
 	}
 	if list := p.list(revision); list != nil {
 		return nil, list
@@ -33,13 +36,13 @@
 	config *Config
 }
 
-func (p *parser) read(doc *document) {
+func (p *parser) read(doc *document, teams []teamText) {
 	if doc.Format != FormatVersion {
 		p.add(keyPath{"format"}, doc.Format, "is not the format %d that this build reads", FormatVersion)
 		return
 	}
 	p.readDefaults(doc.Defaults)
-	p.readTeams(doc.Teams)
+	p.readTeams(append(teams, p.inlineTeams(doc.Teams)...))
 	p.readModels(doc.Models)
 	p.readServices(doc.Services)
 	p.readExceptions(doc.Exceptions)
@@ -82,26 +85,3 @@
 		}
 	}
 }
-
-func (p *parser) readTeams(teams map[string]string) {
-	names := slices.Sorted(maps.Keys(teams))
-	p.config.teamNames = names
-	p.config.teamTokens = make(map[tokenDigest]uint32, len(names))
-	for index, name := range names {
-		path := keyPath{"teams", name}
-		if !ident.ValidName(name) {
-			p.add(path, name, "is not a valid team name")
-			continue
-		}
-		digest, err := parseTokenDigest(teams[name])
-		if err != nil {
-			p.add(path, teams[name], "%s", err)
-			continue
-		}
-		if other, ok := p.config.teamTokens[digest]; ok {
-			p.add(path, teams[name], "is also the token digest of team %q", names[other])
-			continue
-		}
-		p.config.teamTokens[digest] = uint32(index)
-	}
-}
