--- /dev/null
+++ b/internal/sentconn/sentconn.go
@@ -0,0 +1,108 @@
+package sentconn
+
+import (
+	"context"
+	"net"
+	"net/http/httptrace"
+	"sync"
+)
+
+// DialFunc opens a connection.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Dial wraps the connections that dial opens.
+func Dial(dial DialFunc) DialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		inner, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &conn{Conn: inner}, nil
+	}
+}
+
+// conn counts written bytes. A byte counts from before its write begins until
+// the write reports that it did not go out.
+type conn struct {
+	net.Conn
+	mu     sync.Mutex
+	sent   uint64
+	closed bool
+}
+
+func (c *conn) Write(p []byte) (int, error) {
+	if err := c.begin(len(p)); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Write(p)
+	c.mu.Lock()
+	c.sent -= uint64(len(p) - n)
+	c.mu.Unlock()
+	return n, err
+}
+
+func (c *conn) begin(size int) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return net.ErrClosed
+	}
+	c.sent += uint64(size)
+	return nil
+}
+
+func (c *conn) Close() error {
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
+	return c.Conn.Close()
+}
+
+func (c *conn) count() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.sent
+}
+
+// Watch observes the connection that one request gets.
+type Watch struct {
+	mu      sync.Mutex
+	conn    *conn
+	base    uint64
+	unknown bool // the request got a connection that does not count, or several
+}
+
+// NewWatch returns a watch and a context for the request that it observes.
+func NewWatch(ctx context.Context) (*Watch, context.Context) {
+	w := &Watch{}
+	trace := &httptrace.ClientTrace{GotConn: w.gotConn}
+	return w, httptrace.WithClientTrace(ctx, trace)
+}
+
+func (w *Watch) gotConn(info httptrace.GotConnInfo) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	c, ok := info.Conn.(*conn)
+	if !ok || w.conn != nil {
+		w.unknown = true
+		return
+	}
+	w.conn = c
+	w.base = c.count()
+}
+
+// Sent reports whether a byte of the request can have left the process. It is
+// called after the request failed, and closes the connection so that nothing
+// can follow.
+func (w *Watch) Sent() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.unknown {
+		return true
+	}
+	if w.conn == nil {
+		return false
+	}
+	_ = w.conn.Close() // the request failed; its connection is of no further use
+	return w.conn.count() != w.base
+}
--- /dev/null
+++ b/upstream/servicehttp/client.go
@@ -0,0 +1,52 @@
+package servicehttp
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/citronscale/citronscale/internal/sentconn"
+	"github.com/citronscale/citronscale/upstream"
+)
+
+// Options bounds what a client spends on one call.
+type Options struct {
+	DialTimeout  time.Duration // to open a connection
+	MaxBodyBytes int64         // longest answer
+}
+
+// Default bounds.
+const (
+	DefaultDialTimeout  = 500 * time.Millisecond
+	DefaultMaxBodyBytes = 8 << 20
+)
+
+// Client calls plain services.
+type Client struct {
+	options   Options
+	transport *http.Transport
+}
+
+// NewClient returns a client. Zero fields of options take their defaults.
+func NewClient(options Options) *Client {
+	if options.DialTimeout == 0 {
+		options.DialTimeout = DefaultDialTimeout
+	}
+	if options.MaxBodyBytes == 0 {
+		options.MaxBodyBytes = DefaultMaxBodyBytes
+	}
+	dialer := &net.Dialer{Timeout: options.DialTimeout}
+	return &Client{
+		options: options,
+		transport: &http.Transport{
+			DialContext:        sentconn.Dial(dialer.DialContext),
+			DisableKeepAlives:  true,
+			DisableCompression: true,
+		},
+	}
+}
+
+// Service returns the service with the given name at address, an IP:port.
+func (c *Client) Service(name upstream.Name, address string) upstream.Service {
+	return &service{client: c, name: name, base: "http://" + address}
+}
