--- a/upstream/enginehttp/engine.go
+++ b/upstream/enginehttp/engine.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 
 	"github.com/citronscale/citronscale/ident"
@@ -14,8 +16,9 @@
 type engine struct {
 	client     *Client
 	name       upstream.Name
-	base       string       // URL without a path
-	freshUntil atomic.Int64 // Unix nanoseconds until which calls avoid kept connections
+	base       string        // URL without a path
+	cacheEvent atomic.Uint64 // sequence number of the last cache event read
+	freshUntil atomic.Int64  // Unix nanoseconds until which calls avoid kept connections
 }
 
 // Reserve implements upstream.Engine.
@@ -41,6 +44,9 @@
 	if err := e.call(ctx, http.MethodPost, enginewire.PathPrefill, message, &answer); err != nil {
 		return nil, err
 	}
+	if answer.Error != "" {
+		return nil, e.failedAfterSend(ctx, fmt.Errorf("the engine gave up: %s", answer.Error))
+	}
 	return &upstream.PrefillResult{Tokens: answer.Tokens, CachedTokens: answer.CachedTokens}, nil
 }
 
@@ -56,12 +62,15 @@
 	return e.call(ctx, http.MethodPost, enginewire.PathCancel, message, nil)
 }
 
-// Report implements upstream.Engine.
+// Report implements upstream.Engine. It returns each cache event once.
 func (e *engine) Report(ctx context.Context) (*upstream.Report, error) {
+	after := strconv.FormatUint(e.cacheEvent.Load(), 10)
+	path := enginewire.PathReport + "?" + enginewire.ParameterAfter + "=" + after
 	var answer enginewire.Report
-	if err := e.call(ctx, http.MethodGet, enginewire.PathReport, nil, &answer); err != nil {
+	if err := e.call(ctx, http.MethodGet, path, nil, &answer); err != nil {
 		return nil, err
 	}
+	e.cacheEvent.Store(answer.CacheSequence)
 	return answer.Upstream(), nil
 }
 
@@ -79,7 +88,7 @@
 		cancel()
 		return nil, err
 	}
-	return newStream(e, body, cancel, req.Attempt), nil
+	return newStream(e, body, cancel), nil
 }
 
 // call sends a message and decodes the answer, if answer is not nil.
--- a/upstream/enginehttp/stream.go
+++ b/upstream/enginehttp/stream.go
@@ -12,7 +12,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/citronscale/citronscale/ident"
 	"github.com/citronscale/citronscale/upstream"
 	"github.com/citronscale/citronscale/upstream/enginewire"
 )
@@ -23,25 +22,23 @@
 )
 
 type stream struct {
-	engine  *engine
-	attempt ident.Attempt
-	body    io.ReadCloser
-	lines   *bufio.Reader
-	long    []byte // collects a line that exceeds the buffer of lines
-	cancel  context.CancelFunc
-	close   sync.Once
-	done    atomic.Bool
-	err     error
+	engine *engine
+	body   io.ReadCloser
+	lines  *bufio.Reader
+	long   []byte // collects a line that exceeds the buffer of lines
+	cancel context.CancelFunc
+	close  sync.Once
+	done   atomic.Bool
+	err    error
 }
 
-func newStream(e *engine, body io.ReadCloser, cancel context.CancelFunc, attempt ident.Attempt) *stream {
+func newStream(e *engine, body io.ReadCloser, cancel context.CancelFunc) *stream {
 	const bufferBytes = 1 << 10
 	return &stream{
-		engine:  e,
-		attempt: attempt,
-		body:    body,
-		lines:   bufio.NewReaderSize(body, bufferBytes),
-		cancel:  cancel,
+		engine: e,
+		body:   body,
+		lines:  bufio.NewReaderSize(body, bufferBytes),
+		cancel: cancel,
 	}
 }
 
--- a/upstream/enginewire/messages.go
+++ b/upstream/enginewire/messages.go
@@ -58,10 +58,12 @@
 	Priority int     `json:"priority"`
 }
 
-// Prefilled is the answer to Prefill.
+// Prefilled is the answer to Prefill. An engine accepts with the status and
+// sends the body when the part is computed.
 type Prefilled struct {
 	Tokens       uint32 `json:"tokens"`
 	CachedTokens uint32 `json:"cached_tokens"`
+	Error        string `json:"error,omitempty"` // the engine gave up
 }
 
 // Subject is the body of a request to PathRelease or PathCancel.
--- a/upstream/enginewire/paths.go
+++ b/upstream/enginewire/paths.go
@@ -12,6 +12,12 @@
 	PathExport   = "/v1/export" // read by other engines
 )
 
+// Query parameters.
+const (
+	ParameterAfter   = "after"   // of PathReport: last cache event that the reader knows
+	ParameterAttempt = "attempt" // of PathExport
+)
+
 // Headers that citronscale and its upstreams exchange.
 const (
 	// HeaderAttempt carries the attempt identifier of a request.
