--- /dev/null
+++ b/internal/sentconn/sentconn_test.go
@@ -0,0 +1,74 @@
+package sentconn_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/citronscale/citronscale/internal/sentconn"
+)
+
+// pipeConn accepts the given number of bytes and then fails.
+type pipeConn struct {
+	net.Conn
+	accepts int
+}
+
+var errCut = errors.New("the connection is cut")
+
+func (c *pipeConn) Write(p []byte) (int, error) {
+	n := min(len(p), c.accepts)
+	c.accepts -= n
+	if n < len(p) {
+		return n, errCut
+	}
+	return n, nil
+}
+
+func send(t *testing.T, ctx context.Context, accepts int) bool {
+	t.Helper()
+	client, server := net.Pipe()
+	defer func() { _ = server.Close() }()
+	transport := &http.Transport{
+		DialContext: sentconn.Dial(func(context.Context, string, string) (net.Conn, error) {
+			return &pipeConn{Conn: client, accepts: accepts}, nil
+		}),
+	}
+	watch, watched := sentconn.NewWatch(ctx)
+	req, err := http.NewRequestWithContext(watched, http.MethodPost, "http://engine/", strings.NewReader("body"))
+	assert.NilError(t, err)
+	_, err = transport.RoundTrip(req)
+	assert.Assert(t, err != nil)
+	return watch.Sent()
+}
+
+func TestSentCountsBytes(t *testing.T) {
+	assert.Assert(t, !send(t, t.Context(), 0))
+	assert.Assert(t, send(t, t.Context(), 1))
+	cancelled, cancel := context.WithCancel(t.Context())
+	cancel()
+	assert.Assert(t, !send(t, cancelled, 1000))
+}
+
+func TestUncountedConnectionMayHaveSent(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	go func() {
+		conn, err := listener.Accept()
+		if err == nil {
+			_ = conn.Close()
+		}
+	}()
+	defer func() { _ = listener.Close() }()
+	watch, ctx := sentconn.NewWatch(t.Context())
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+listener.Addr().String(), strings.NewReader("body"))
+	assert.NilError(t, err)
+	_, err = (&http.Transport{}).RoundTrip(req)
+	assert.Assert(t, err != nil)
+	assert.Assert(t, watch.Sent())
+}
