Caller face: completions, chat, models, idempotency keys and plain services

The gateway checks team, size and form, and renders answers, streams and problem documents; a Backend interface carries requests on. An unmodified public OpenAI client reads whole answers, streams, models, refusals and broken streams in the tests. A broken stream has no end marker.

--- /dev/null
+++ b/gateway/gateway_test.go
@@ -0,0 +1,214 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+	"gotest.tools/v3/assert"
+
+	"github.com/citronscale/citronscale/code"
+	"github.com/citronscale/citronscale/ident"
+	"github.com/citronscale/citronscale/internal/buffer"
+)
+
+const testToken = "token-of-alpha"
+
+// fakeBackend answers every completion with three words, or with err after
+// failAfter words.
+type fakeBackend struct {
+	mu        sync.Mutex
+	sequence  uint64
+	err       error
+	failAfter int
+	calls     []*ServiceCall
+	completed int
+}
+
+func (b *fakeBackend) Ready() error                                    { return nil }
+func (b *fakeBackend) Models() []string                                { return []string{"small"} }
+func (b *fakeBackend) Timeout(_ string, _ time.Duration) time.Duration { return time.Minute }
+func (b *fakeBackend) IssueKeys(_ string, n int) ([]string, error)     { return make([]string, n), nil }
+func (b *fakeBackend) Finished(_ *Outcome)                             {}
+func (b *fakeBackend) Authenticate(token string) (team string, ok bool) {
+	return "alpha", token == testToken
+}
+
+func (b *fakeBackend) NewRequest() ident.Request {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.sequence++
+	return ident.Request{Host: "host-1", Incarnation: 1, Sequence: b.sequence}
+}
+
+func (b *fakeBackend) Complete(_ context.Context, c *Completion, sink Sink) (*CompletionResult, error) {
+	b.mu.Lock()
+	b.completed++
+	b.mu.Unlock()
+	for i, word := range []string{"one ", "two ", "three"} {
+		if b.err != nil && i == b.failAfter {
+			return nil, b.err
+		}
+		if err := sink.Deliver(word, 1); err != nil {
+			return nil, err
+		}
+	}
+	return &CompletionResult{PromptTokens: uint32(len(c.Prompt)), CompletionTokens: 3}, nil
+}
+
+func (b *fakeBackend) CallService(_ context.Context, call *ServiceCall) (*ServiceAnswer, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.calls = append(b.calls, call)
+	header := http.Header{"X-Answer": {"yes"}, "Connection": {"X-Drop"}, "X-Drop": {"1"}}
+	return &ServiceAnswer{Status: http.StatusCreated, Header: header, Body: call.Body}, nil
+}
+
+func serve(t *testing.T, backend *fakeBackend) *httptest.Server {
+	t.Helper()
+	limits := Limits{MaxBodyBytes: 1 << 20, ReadTimeout: time.Minute, WriteTimeout: time.Minute}
+	server := httptest.NewServer(New(backend, limits, buffer.NewPool(8<<20), nil))
+	t.Cleanup(server.Close)
+	return server
+}
+
+func newClient(server *httptest.Server, token string) *openai.Client {
+	client := openai.NewClient(option.WithBaseURL(server.URL+"/v1/"), option.WithAPIKey(token), option.WithMaxRetries(0))
+	return &client
+}
+
+func chatParams() openai.ChatCompletionNewParams {
+	return openai.ChatCompletionNewParams{
+		Model:    "small",
+		Messages: []openai.ChatCompletionMessageParamUnion{openai.UserMessage("hello")},
+	}
+}
+
+func TestPublicClientReadsAnswers(t *testing.T) {
+	client := newClient(serve(t, &fakeBackend{}), testToken)
+	ctx := context.Background()
+
+	whole, err := client.Chat.Completions.New(ctx, chatParams())
+	assert.NilError(t, err)
+	assert.Equal(t, whole.Choices[0].Message.Content, "one two three")
+	assert.Equal(t, whole.Usage.CompletionTokens, int64(3))
+
+	stream := client.Chat.Completions.NewStreaming(ctx, chatParams())
+	var text strings.Builder
+	for stream.Next() {
+		text.WriteString(stream.Current().Choices[0].Delta.Content)
+	}
+	assert.NilError(t, stream.Err())
+	assert.Equal(t, text.String(), "one two three")
+
+	params := openai.CompletionNewParams{Model: "small", Prompt: openai.CompletionNewParamsPromptUnion{OfString: openai.String("hi")}}
+	plain, err := client.Completions.New(ctx, params)
+	assert.NilError(t, err)
+	assert.Equal(t, plain.Choices[0].Text, "one two three")
+
+	models, err := client.Models.List(ctx)
+	assert.NilError(t, err)
+	assert.Equal(t, models.Data[0].ID, "small")
+}
+
+func TestPublicClientReadsErrors(t *testing.T) {
+	backend := &fakeBackend{err: code.New(code.NoCapacity, "no engine has room")}
+	server := serve(t, backend)
+	_, err := newClient(server, testToken).Chat.Completions.New(context.Background(), chatParams())
+	var apiError *openai.Error
+	assert.Assert(t, errors.As(err, &apiError))
+	assert.Equal(t, apiError.StatusCode, http.StatusServiceUnavailable)
+	assert.Equal(t, apiError.Code, "1010")
+
+	_, err = newClient(server, "wrong").Chat.Completions.New(context.Background(), chatParams())
+	assert.Assert(t, errors.As(err, &apiError))
+	assert.Equal(t, apiError.StatusCode, http.StatusUnauthorized)
+	assert.Equal(t, backend.completed, 1)
+}
+
+func TestBrokenStreamHasNoEndMarker(t *testing.T) {
+	backend := &fakeBackend{err: code.New(code.AnswerIncomplete, "upstream lost"), failAfter: 2}
+	server := serve(t, backend)
+	stream := newClient(server, testToken).Chat.Completions.NewStreaming(context.Background(), chatParams())
+	for stream.Next() {
+		continue
+	}
+	assert.ErrorContains(t, stream.Err(), "upstream lost")
+
+	status, body := send(t, server, http.MethodPost, "/v1/completions", `{"model":"small","prompt":"p","stream":true}`)
+	assert.Equal(t, status, http.StatusOK)
+	assert.Assert(t, strings.Contains(body, `"code":2005`))
+	assert.Assert(t, !strings.Contains(body, streamDone))
+}
+
+func send(t *testing.T, server *httptest.Server, method, path, body string) (status int, answer string) {
+	t.Helper()
+	request, err := http.NewRequest(method, server.URL+path, strings.NewReader(body))
+	assert.NilError(t, err)
+	request.Header.Set("Authorization", "Bearer "+testToken)
+	request.Header.Set("X-Kept", "kept")
+	request.Header.Set("Citron-Team", "forged")
+	request.Header.Set("Te", "trailers")
+	request.Header.Set(headerKey, "key-1")
+	response, err := server.Client().Do(request)
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	return response.StatusCode, string(data)
+}
+
+func TestServiceCallIsKept(t *testing.T) {
+	backend := &fakeBackend{}
+	server := serve(t, backend)
+	status, body := send(t, server, http.MethodPut, "/services/booking/rooms/a%2Fb?x=1", "payload")
+	assert.Equal(t, status, http.StatusCreated)
+	assert.Equal(t, body, "payload")
+	call := backend.calls[0]
+	assert.Equal(t, call.Method, http.MethodPut)
+	assert.Equal(t, call.Path, "/rooms/a%2Fb?x=1")
+	assert.Equal(t, call.Key, "key-1")
+	assert.Equal(t, call.Header.Get("X-Kept"), "kept")
+	for _, dropped := range []string{"Authorization", "Citron-Team", "Te"} {
+		assert.Equal(t, call.Header.Get(dropped), "", dropped)
+	}
+}
+
+func TestBadInputIsRefusedAsNotRun(t *testing.T) {
+	backend := &fakeBackend{}
+	server := serve(t, backend)
+	cases := map[string]struct {
+		path string
+		body string
+		want code.Code
+	}{
+		"no JSON":       {"/v1/completions", "{", code.BadRequest},
+		"empty prompt":  {"/v1/completions", `{"model":"small"}`, code.BadRequest},
+		"two choices":   {"/v1/completions", `{"model":"small","prompt":"x","n":2}`, code.BadRequest},
+		"image part":    {"/v1/chat/completions", `{"messages":[{"role":"user","content":[{"type":"image_url"}]}]}`, code.BadRequest},
+		"no messages":   {"/v1/chat/completions", `{"model":"small"}`, code.BadRequest},
+		"large body":    {"/v1/completions", strings.Repeat("x", 2<<20), code.BodyTooLarge},
+		"unknown path":  {"/v2/other", "", code.NotFound},
+		"too many keys": {"/v1/idempotency-keys", `{"count":100000}`, code.BadRequest},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			status, body := send(t, server, http.MethodPost, c.path, c.body)
+			assert.Equal(t, status, c.want.Status())
+			var p problem
+			assert.NilError(t, json.Unmarshal([]byte(body), &p))
+			assert.Equal(t, p.Code, c.want)
+			assert.Equal(t, p.Outcome, "not run")
+		})
+	}
+	assert.Equal(t, backend.completed, 0)
+}
--- /dev/null
+++ b/gateway/request.go
@@ -0,0 +1,118 @@
+package gateway
+
+import (
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/citronscale/citronscale/code"
+	"github.com/citronscale/citronscale/ident"
+	"github.com/citronscale/citronscale/internal/buffer"
+)
+
+// Kinds of requests on the caller face, as logs and metrics name them.
+const (
+	kindCompletion = "completion"
+	kindChat       = "chat"
+	kindModels     = "models"
+	kindKeys       = "keys"
+	kindService    = "service"
+	kindOther      = "other"
+)
+
+// Headers of the caller face.
+const (
+	headerRequestID = "Citron-Request-Id"
+	headerTimeout   = "Citron-Timeout" // a duration such as 20s
+	headerCode      = "Citron-Code"
+	headerReplayed  = "Citron-Replayed"
+	headerRanAs     = "Citron-Ran-As"
+	headerKey       = "Idempotency-Key"
+)
+
+// exchange is one request on the caller face and its response writer.
+type exchange struct {
+	w       *responseWriter
+	r       *http.Request
+	kind    string
+	id      ident.Request
+	team    string
+	started time.Time
+	outcome Outcome
+	memory  *buffer.Reservation
+}
+
+type exchangeHandler func(x *exchange) error
+
+// withTeam authenticates the caller, runs handle and renders its error.
+func (g *Gateway) withTeam(kind string, handle exchangeHandler) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		x := &exchange{w: &responseWriter{ResponseWriter: w}, r: r, kind: kind, id: g.backend.NewRequest(), started: time.Now(), memory: g.pool.Reserve()}
+		defer x.memory.Release()
+		x.outcome = Outcome{Request: x.id, Kind: kind, Started: x.started}
+		w.Header().Set(headerRequestID, x.id.String())
+		err := g.admit(x)
+		if err == nil {
+			err = handle(x)
+		}
+		g.finish(x, err)
+	}
+}
+
+// admit refuses a request that the host can't serve or whose team is unknown.
+func (g *Gateway) admit(x *exchange) error {
+	if err := g.backend.Ready(); err != nil {
+		return err
+	}
+	team, ok := g.backend.Authenticate(bearerToken(x.r))
+	if !ok {
+		return code.New(code.TeamTokenInvalid, "bearer token is missing or belongs to no team")
+	}
+	x.team = team
+	x.outcome.Team = team
+	return nil
+}
+
+func (g *Gateway) finish(x *exchange, err error) {
+	x.outcome.Code = code.Of(err)
+	x.outcome.Took = time.Since(x.started)
+	if err != nil {
+		x.outcome.Detail = err.Error()
+		writeProblem(x, err)
+	}
+	g.backend.Finished(&x.outcome)
+}
+
+func bearerToken(r *http.Request) string {
+	scheme, token, found := strings.Cut(r.Header.Get("Authorization"), " ")
+	if !found || !strings.EqualFold(scheme, "Bearer") {
+		return ""
+	}
+	return strings.TrimSpace(token)
+}
+
+// readBody reads the whole body within the size, time and memory limits.
+func (g *Gateway) readBody(x *exchange) ([]byte, error) {
+	if x.r.ContentLength > g.limits.MaxBodyBytes {
+		return nil, code.New(code.BodyTooLarge, "body has %d bytes, limit is %d", x.r.ContentLength, g.limits.MaxBodyBytes)
+	}
+	control := http.NewResponseController(x.w)
+	// Writers that don't support deadlines are only used in tests.
+	_ = control.SetReadDeadline(time.Now().Add(g.limits.ReadTimeout))
+	body, err := x.memory.ReadAll(x.r.Body, g.limits.MaxBodyBytes)
+	_ = control.SetReadDeadline(time.Time{})
+	return body, err
+}
+
+// deadline returns the absolute deadline of the request.
+func (g *Gateway) deadline(x *exchange) (time.Time, error) {
+	var asked time.Duration
+	if text := x.r.Header.Get(headerTimeout); text != "" {
+		parsed, err := time.ParseDuration(text)
+		if err != nil || parsed <= 0 {
+			return time.Time{}, code.New(code.BadRequest, "header %s %q is not a positive duration", headerTimeout, text)
+		}
+		asked = parsed
+	}
+	return x.started.Add(g.backend.Timeout(x.team, asked)), nil
+}
