--- a/code/code_test.go
+++ b/code/code_test.go
@@ -28,3 +28,7 @@
 	assert.Equal(t, Of(nil), OK)
 	assert.Assert(t, Has(Wrap(wrapped, NoCapacity), TeamLimit))
 }
+
+func TestDescribeNamesTheNumber(t *testing.T) {
+	assert.Equal(t, Describe(New(SettingsInvalid, "no %s", "name")), "1901 SettingsInvalid: no name")
+}
--- a/code/error.go
+++ b/code/error.go
@@ -39,6 +39,13 @@
 	return InternalFault
 }
 
+// Describe returns the line with which a process ends: the number and the name
+// of the code of err, then its detail.
+func Describe(err error) string {
+	c := Of(err)
+	return fmt.Sprintf("%d %s: %v", int(c), c.Name(), err)
+}
+
 // Has reports whether err carries code c anywhere in its chain.
 func Has(err error, c Code) bool {
 	for err != nil {
