--- /dev/null
+++ b/directory/directory.go
@@ -0,0 +1,307 @@
+package directory
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/citronscale/citronscale/chart"
+	"github.com/citronscale/citronscale/platform"
+	"github.com/citronscale/citronscale/upstream"
+)
+
+// leavingMemory is how long a refusal that said leaving counts without being
+// confirmed by the list, a report or another refusal.
+const leavingMemory = 30 * time.Second
+
+// Clients makes the clients of upstreams. Another wire format is another
+// implementation.
+type Clients interface {
+	Engine(name upstream.Name, address string) upstream.Engine
+	Service(name upstream.Name, address string) upstream.Service
+}
+
+// Status is what the directory knows about one upstream at one moment.
+type Status struct {
+	Info     upstream.Info
+	State    chart.State
+	Report   *upstream.Report // nil until one was read; not to be changed
+	ReportAt time.Time        // when the report was asked for, on the own clock
+	InFlight int              // own calls in flight
+}
+
+// Usable reports whether the upstream may get new work.
+func (s *Status) Usable() bool {
+	switch s.State {
+	case chart.UpstreamUnknown, chart.UpstreamUp, chart.UpstreamSuspect:
+		return true
+	default:
+		return false
+	}
+}
+
+type entry struct {
+	info        upstream.Info
+	machine     *chart.Machine
+	engine      upstream.Engine
+	service     upstream.Service
+	report      *upstream.Report
+	reportAt    time.Time
+	lostSince   time.Time
+	refusedAt   time.Time // newest refusal that said leaving
+	inFlight    int
+	reportLeave bool
+}
+
+// Directory holds the upstreams by name.
+type Directory struct {
+	mu      sync.Mutex
+	clients Clients
+	chart   *chart.Chart
+	entries map[upstream.Name]*entry
+}
+
+// New returns an empty directory.
+func New(clients Clients) *Directory {
+	return &Directory{clients: clients, chart: chart.MustLoad(chart.Upstream), entries: map[upstream.Name]*entry{}}
+}
+
+// Change is a new state of one upstream.
+type Change struct {
+	Name      upstream.Name
+	State     chart.State
+	Restarted bool   // the engine reports a new incarnation
+	Previous  uint64 // incarnation before the restart
+}
+
+// UpdateList takes over a host list. Upstreams that it no longer names and
+// that have no own work in flight are forgotten.
+func (d *Directory) UpdateList(now time.Time, list []platform.Entry) []Change {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	listed := make(map[upstream.Name]bool, len(list))
+	var changes []Change
+	for _, line := range list {
+		info, ok := infoOf(line)
+		if !ok {
+			continue
+		}
+		listed[info.Name] = true
+		changes = append(changes, d.updateEntry(now, info)...)
+	}
+	return append(changes, d.removeUnlisted(listed)...)
+}
+
+func infoOf(line platform.Entry) (upstream.Info, bool) {
+	info := upstream.Info{
+		Name: upstream.Name(line.Name), Address: line.Address, FailureDomain: line.FailureDomain,
+		Model: line.Model, Service: line.Service, Leaving: line.Leaving, ChecksFence: line.ChecksFence,
+	}
+	switch line.Role {
+	case platform.RoleEngine:
+		info.Kind = upstream.KindEngine
+	case platform.RoleService:
+		info.Kind = upstream.KindService
+	default:
+		return info, false
+	}
+	return info, true
+}
+
+func (d *Directory) updateEntry(now time.Time, info upstream.Info) []Change {
+	e, ok := d.entries[info.Name]
+	if !ok || e.info.Address != info.Address {
+		e = &entry{machine: d.chart.New()}
+		d.entries[info.Name] = e
+		d.connect(e, info)
+	}
+	e.info = info
+	return d.settleLeaving(now, e)
+}
+
+func (d *Directory) connect(e *entry, info upstream.Info) {
+	if info.Kind == upstream.KindEngine {
+		e.engine = d.clients.Engine(info.Name, info.Address)
+		return
+	}
+	e.service = d.clients.Service(info.Name, info.Address)
+}
+
+// settleLeaving moves an upstream into or out of the leaving state.
+func (d *Directory) settleLeaving(now time.Time, e *entry) []Change {
+	refused := !e.refusedAt.IsZero() && now.Sub(e.refusedAt) < leavingMemory
+	if e.info.Leaving || e.reportLeave || refused {
+		return fire(e, chart.UpstreamLeave)
+	}
+	return fire(e, chart.UpstreamReturn)
+}
+
+func (d *Directory) removeUnlisted(listed map[upstream.Name]bool) []Change {
+	var changes []Change
+	for name, e := range d.entries {
+		if listed[name] || e.inFlight > 0 {
+			continue
+		}
+		changes = append(changes, fire(e, chart.UpstreamRemove)...)
+		delete(d.entries, name)
+	}
+	return changes
+}
+
+// fire moves the machine and returns the change, if any. The upstream chart
+// calls no event impossible.
+func fire(e *entry, event chart.Event) []Change {
+	before := e.machine.State()
+	after, err := e.machine.Fire(event)
+	if err != nil || after == before {
+		return nil
+	}
+	return []Change{{Name: e.info.Name, State: after}}
+}
+
+// Reported takes over the report of an engine that was asked for at asked.
+func (d *Directory) Reported(now, asked time.Time, report *upstream.Report) []Change {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e, ok := d.entries[report.Name]
+	if !ok {
+		return nil
+	}
+	var changes []Change
+	if e.report != nil && e.report.Incarnation != report.Incarnation {
+		changes = append(changes, Change{Name: report.Name, State: e.machine.State(), Restarted: true, Previous: e.report.Incarnation})
+	}
+	e.report = report
+	e.reportAt = asked
+	e.lostSince = time.Time{}
+	e.reportLeave = report.Leaving
+	changes = append(changes, fire(e, chart.UpstreamReport)...)
+	return append(changes, d.settleLeaving(now, e)...)
+}
+
+// ReportLost notes that an engine could not be read. It counts as down once it
+// was silent for suspectTime.
+func (d *Directory) ReportLost(now time.Time, name upstream.Name, suspectTime time.Duration) []Change {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e, ok := d.entries[name]
+	if !ok {
+		return nil
+	}
+	if e.lostSince.IsZero() {
+		e.lostSince = now
+	}
+	changes := fire(e, chart.UpstreamReportLost)
+	if now.Sub(e.lostSince) >= suspectTime {
+		changes = append(changes, fire(e, chart.UpstreamSuspectTime)...)
+	}
+	return changes
+}
+
+// RefusedLeaving notes that an upstream or its owner said it is leaving.
+func (d *Directory) RefusedLeaving(now time.Time, name upstream.Name) []Change {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e, ok := d.entries[name]
+	if !ok {
+		return nil
+	}
+	e.refusedAt = now
+	return d.settleLeaving(now, e)
+}
+
+// Heard notes that an upstream answered a call, which ends a suspicion.
+func (d *Directory) Heard(name upstream.Name) []Change {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e, ok := d.entries[name]
+	if !ok {
+		return nil
+	}
+	e.lostSince = time.Time{}
+	return fire(e, chart.UpstreamReport)
+}
+
+// Engine returns the client of an engine.
+func (d *Directory) Engine(name upstream.Name) (upstream.Engine, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e, ok := d.entries[name]
+	if !ok || e.engine == nil {
+		return nil, false
+	}
+	return e.engine, true
+}
+
+// Service returns the client of a replica of a plain service.
+func (d *Directory) Service(name upstream.Name) (upstream.Service, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e, ok := d.entries[name]
+	if !ok || e.service == nil {
+		return nil, false
+	}
+	return e.service, true
+}
+
+// Status returns what is known about one upstream.
+func (d *Directory) Status(name upstream.Name) (Status, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e, ok := d.entries[name]
+	if !ok {
+		return Status{}, false
+	}
+	return e.status(), true
+}
+
+// All returns the status of every upstream in order of their names.
+func (d *Directory) All() []Status {
+	return d.filter(func(*entry) bool { return true })
+}
+
+// Engines returns the status of every engine in order of their names.
+func (d *Directory) Engines() []Status {
+	return d.filter(func(e *entry) bool { return e.info.Kind == upstream.KindEngine })
+}
+
+// Replicas returns the usable replicas of a plain service, the one with the
+// fewest own calls in flight first.
+func (d *Directory) Replicas(service string) []Status {
+	list := d.filter(func(e *entry) bool { return e.info.Kind == upstream.KindService && e.info.Service == service })
+	list = slices.DeleteFunc(list, func(s Status) bool { return !s.Usable() })
+	slices.SortStableFunc(list, func(a, b Status) int { return cmp.Compare(a.InFlight, b.InFlight) })
+	return list
+}
+
+func (d *Directory) filter(keep func(*entry) bool) []Status {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	list := make([]Status, 0, len(d.entries))
+	for _, e := range d.entries {
+		if keep(e) {
+			list = append(list, e.status())
+		}
+	}
+	slices.SortFunc(list, func(a, b Status) int { return cmp.Compare(a.Info.Name, b.Info.Name) })
+	return list
+}
+
+func (e *entry) status() Status {
+	return Status{Info: e.info, State: e.machine.State(), Report: e.report, ReportAt: e.reportAt, InFlight: e.inFlight}
+}
+
+// Begin counts an own call in flight. The returned function ends it.
+func (d *Directory) Begin(name upstream.Name) (end func()) {
+	d.add(name, 1)
+	return func() { d.add(name, -1) }
+}
+
+func (d *Directory) add(name upstream.Name, n int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if e, ok := d.entries[name]; ok {
+		e.inFlight += n
+	}
+}
--- /dev/null
+++ b/host/host.go
@@ -0,0 +1,180 @@
+package host
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/citronscale/citronscale/chart"
+	"github.com/citronscale/citronscale/directory"
+	"github.com/citronscale/citronscale/event"
+	"github.com/citronscale/citronscale/gateway"
+	"github.com/citronscale/citronscale/ident"
+	"github.com/citronscale/citronscale/internal/buffer"
+	"github.com/citronscale/citronscale/metrics"
+	"github.com/citronscale/citronscale/settings"
+)
+
+// Host is one entry host process.
+type Host struct {
+	settings    *settings.Settings
+	self        ident.Host
+	incarnation ident.Incarnation
+	sequence    atomic.Uint64
+	log         *event.Logger
+	metrics     *metrics.Metrics
+	pool        *buffer.Pool
+	lifecycle   *lifecycle
+	agreement   *agreement
+	directory   *directory.Directory
+	platform    *platformReader
+	records     *records
+	issuer      *issuer
+	listeners   []*listener
+}
+
+// New provisions a host. It opens no listener and starts no goroutine.
+func New(s *settings.Settings, log *event.Logger) (*Host, error) {
+	if err := chart.LoadAll(); err != nil {
+		return nil, err
+	}
+	instruments, err := metrics.New()
+	if err != nil {
+		return nil, err
+	}
+	incarnation := ident.Incarnation(time.Now().UnixNano())
+	h := &Host{
+		settings:    s,
+		self:        s.Host.Name,
+		incarnation: incarnation,
+		log:         log,
+		metrics:     instruments,
+		pool:        buffer.NewPool(s.Limits.BufferBytes),
+		lifecycle:   newLifecycle(log),
+		agreement:   newAgreement(log),
+		directory:   directory.New(newClients()),
+		platform:    newPlatformReader(s.Platform),
+		records:     newRecords(s.Host.Name, incarnation, s.Record.Capacity),
+		issuer:      newIssuer(s.Host.Name, incarnation, keyLifetime),
+	}
+	return h, nil
+}
+
+// Run opens the listeners and serves until ctx ends and the planned stop that
+// follows is complete. An error means that the host could not start or that a
+// listener failed.
+func (h *Host) Run(ctx context.Context) error {
+	if err := h.open(); err != nil {
+		return err
+	}
+	defer h.Cleanup()
+	h.log.Emit(event.ProcessStarting).Str("host", string(h.self)).
+		Stringer("callers", h.settings.Listen.Callers).Stringer("peers", h.settings.Listen.Peers).
+		Stringer("operators", h.settings.Listen.Operators).Msg("")
+	work, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	group, work := errgroup.WithContext(work)
+	for _, l := range h.listeners {
+		group.Go(l.serve)
+	}
+	for _, loop := range h.loops() {
+		group.Go(func() error {
+			loop(work)
+			return nil
+		})
+	}
+	group.Go(func() error {
+		defer cancel()
+		h.awaitStop(ctx, work)
+		return nil
+	})
+	return group.Wait()
+}
+
+// loops returns the periodic jobs of the host.
+func (h *Host) loops() []func(context.Context) {
+	return []func(context.Context){
+		h.watchConfig,
+		h.pollHostList,
+	}
+}
+
+func (h *Host) open() error {
+	limits := gateway.Limits{
+		MaxBodyBytes: h.settings.Limits.MaxBodyBytes,
+		ReadTimeout:  h.settings.Limits.ReadTimeout.Std(),
+		WriteTimeout: h.settings.Limits.WriteTimeout.Std(),
+	}
+	callers := gateway.New(h, limits, h.pool, h.log)
+	handlers := []struct {
+		name    string
+		handler http.Handler
+	}{
+		{"callers", callers},
+	}
+	addresses := h.settings.Listen
+	for _, x := range handlers {
+		l, err := h.openListener(x.name, addresses.Callers, x.handler, nil)
+		if err != nil {
+			return err
+		}
+		h.listeners = append(h.listeners, l)
+	}
+	return nil
+}
+
+// awaitStop waits for the end of ctx or of a failed listener, then for the
+// planned stop, and shuts the listeners down.
+func (h *Host) awaitStop(ctx, work context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-work.Done():
+		return
+	}
+	h.lifecycle.leave(time.Now(), h.leavingGrace())
+	ticker := time.NewTicker(idleCheckPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-h.lifecycle.idle:
+			h.shutdown()
+			return
+		case <-work.Done():
+			return
+		case now := <-ticker.C:
+			h.lifecycle.checkIdle(now)
+		}
+	}
+}
+
+const (
+	idleCheckPeriod = 50 * time.Millisecond
+	shutdownTimeout = 5 * time.Second
+)
+
+func (h *Host) leavingGrace() time.Duration {
+	cfg, ok := h.agreement.config()
+	if !ok {
+		return 0
+	}
+	return cfg.Fleet().LeavingGrace
+}
+
+func (h *Host) shutdown() {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	for _, l := range h.listeners {
+		l.shutdown(ctx)
+	}
+}
+
+// Cleanup closes what Run left open. It may be called more than once.
+func (h *Host) Cleanup() {
+	for _, l := range h.listeners {
+		_ = l.server.Close()
+	}
+	h.platform.close()
+}
--- /dev/null
+++ b/host/listeners.go
@@ -0,0 +1,59 @@
+package host
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+
+	"github.com/citronscale/citronscale/code"
+)
+
+// listener is one open listener and the server behind it.
+type listener struct {
+	name   string
+	socket net.Listener
+	server *http.Server
+}
+
+// openListener listens at address. A nil tlsConfig serves plain text.
+func (h *Host) openListener(name string, address netip.AddrPort, handler http.Handler, tlsConfig *tls.Config) (*listener, error) {
+	socket, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return nil, code.Wrap(fmt.Errorf("listen for %s at %s: %w", name, address, err), code.SettingsInvalid)
+	}
+	if tlsConfig != nil {
+		socket = tls.NewListener(socket, tlsConfig)
+	}
+	limits := h.settings.Limits
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: limits.HeaderTimeout.Std(),
+		IdleTimeout:       limits.IdleTimeout.Std(),
+		MaxHeaderBytes:    limits.MaxHeaderBytes,
+		Protocols:         new(http.Protocols),
+	}
+	server.Protocols.SetHTTP1(true)
+	server.Protocols.SetHTTP2(true)
+	server.Protocols.SetUnencryptedHTTP2(true)
+	return &listener{name: name, socket: socket, server: server}, nil
+}
+
+// serve runs the server until it is shut down.
+func (l *listener) serve() error {
+	err := l.server.Serve(l.socket)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return fmt.Errorf("serve %s: %w", l.name, err)
+}
+
+// shutdown stops accepting and waits for open requests until ctx ends.
+func (l *listener) shutdown(ctx context.Context) {
+	if l.server.Shutdown(ctx) != nil {
+		_ = l.server.Close()
+	}
+}
--- /dev/null
+++ b/host/platform.go
@@ -0,0 +1,128 @@
+package host
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/citronscale/citronscale/event"
+	"github.com/citronscale/citronscale/platform"
+	"github.com/citronscale/citronscale/platform/httpsource"
+	"github.com/citronscale/citronscale/settings"
+)
+
+const (
+	watchWait      = 20 * time.Second // longest wait of one watch of the configuration
+	sourceBackoff  = time.Second      // mean pause after a failed read of the platform
+	hostListPeriod = 2 * time.Second  // mean time between two reads of the host list
+)
+
+// platformReader reads the platform at the first address that answers.
+type platformReader struct {
+	config   []*httpsource.Source
+	hostList []*httpsource.Source
+	current  atomic.Uint32 // counts failures; selects the next address
+}
+
+func newPlatformReader(p settings.Platform) *platformReader {
+	return &platformReader{config: newSources(p.Config), hostList: newSources(p.HostList)}
+}
+
+func newSources(addresses []netip.AddrPort) []*httpsource.Source {
+	sources := make([]*httpsource.Source, 0, len(addresses))
+	for _, address := range addresses {
+		sources = append(sources, httpsource.New(address.String()))
+	}
+	return sources
+}
+
+// Read implements platform.ConfigSource.
+func (p *platformReader) Read(ctx context.Context, afterRevision uint64, wait time.Duration) (platform.Document, error) {
+	document, err := p.pick(p.config).Read(ctx, afterRevision, wait)
+	p.judge(err)
+	return document, err
+}
+
+// Hosts implements platform.HostList.
+func (p *platformReader) Hosts(ctx context.Context) ([]platform.Entry, error) {
+	list, err := p.pick(p.hostList).Hosts(ctx)
+	p.judge(err)
+	return list, err
+}
+
+func (p *platformReader) pick(sources []*httpsource.Source) *httpsource.Source {
+	return sources[int(p.current.Load())%len(sources)]
+}
+
+func (p *platformReader) judge(err error) {
+	if err != nil && !errors.Is(err, platform.ErrUnchanged) {
+		p.current.Add(1)
+	}
+}
+
+func (p *platformReader) close() {
+	for _, sources := range [][]*httpsource.Source{p.config, p.hostList} {
+		for _, source := range sources {
+			source.Close()
+		}
+	}
+}
+
+// watchConfig waits for new revisions at the configuration service.
+func (h *Host) watchConfig(ctx context.Context) {
+	down := false
+	for ctx.Err() == nil {
+		known := h.agreement.revision()
+		document, err := h.platform.Read(ctx, known, watchWait)
+		if err != nil && !errors.Is(err, platform.ErrUnchanged) {
+			if !down && ctx.Err() == nil {
+				h.log.Emit(event.ConfigSourceDown).Err(err).Msg("")
+			}
+			down = true
+			pause(ctx, jitter(sourceBackoff))
+			continue
+		}
+		if down {
+			h.log.Emit(event.ConfigSourceBack).Msg("")
+		}
+		down = false
+		if err == nil {
+			h.offerConfig(document)
+		}
+	}
+}
+
+// pollHostList reads the host list again and again.
+func (h *Host) pollHostList(ctx context.Context) {
+	for ctx.Err() == nil {
+		if list, err := h.platform.Hosts(ctx); err == nil {
+			h.useHostList(list)
+		}
+		pause(ctx, jitter(hostListPeriod))
+	}
+}
+
+// useHostList hands a host list to the parts that need it.
+func (h *Host) useHostList(list []platform.Entry) {
+	now := time.Now()
+	h.noteUpstreams(h.directory.UpdateList(now, list))
+}
+
+// jitter returns a random time with the given mean, so that hosts that failed
+// together don't return together.
+func jitter(mean time.Duration) time.Duration {
+	return mean/2 + time.Duration(rand.Int64N(int64(mean)))
+}
+
+// pause waits for d or the end of ctx.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/scripts/fleet.sh
@@ -0,0 +1,108 @@
+# Sourced by other scripts: starts and stops the demo fleet on loopback.
+# Every process is stopped by its process id.
+FLEET_DIR=${FLEET_DIR:-out/demo}
+FLEET_HOSTS=${FLEET_HOSTS:-3}
+FLEET_ENGINES=${FLEET_ENGINES:-4}
+FLEET_CAPACITY=${FLEET_CAPACITY:-480000}
+FLEET_CONFIG=${FLEET_CONFIG:-deploy/demo/fleet.toml}
+FLEET_MODEL=citron-base
+FLEET_TEAMS="pallets returns resurfacing"
+FLEET_PIDS=()
+
+start_process() { # NAME COMMAND...
+  local name=$1
+  shift
+  "$@" >"$FLEET_DIR/$name.log" 2>&1 &
+  FLEET_PIDS+=($!)
+  echo $! >"$FLEET_DIR/$name.pid"
+}
+
+host_list() {
+  local i separator=""
+  printf '{"entries":['
+  for i in $(seq "$FLEET_HOSTS"); do
+    printf '%s{"name":"host-%d","role":"host","address":"127.0.0.1:%d","peer_address":"127.0.0.1:%d","failure_domain":"domain-%d"}' \
+      "$separator" "$i" $((8080 + i)) $((8180 + i)) $(((i - 1) % 3 + 1))
+    separator=","
+  done
+  for i in $(seq "$FLEET_ENGINES"); do
+    printf ',{"name":"engine-%d","role":"engine","address":"127.0.0.1:%d","failure_domain":"domain-%d","model":"%s","checks_fence":%s}' \
+      "$i" $((9100 + i)) $(((i - 1) % 3 + 1)) "$FLEET_MODEL" "$([ $((i % 2)) = 0 ] && echo true || echo false)"
+  done
+  for i in 1 2; do
+    printf ',{"name":"booking-%d","role":"service","address":"127.0.0.1:%d","failure_domain":"domain-%d","service":"booking"}' "$i" $((9200 + i)) "$i"
+  done
+  printf ',{"name":"stock-1","role":"service","address":"127.0.0.1:9211","failure_domain":"domain-1","service":"stock"}]}'
+}
+
+host_settings() { # NUMBER
+  cat <<TOML
+[host]
+name = "host-$1"
+failure_domain = "domain-$((($1 - 1) % 3 + 1))"
+
+[listen]
+callers = "127.0.0.1:$((8080 + $1))"
+peers = "127.0.0.1:$((8180 + $1))"
+operators = "127.0.0.1:$((8280 + $1))"
+
+[platform]
+config = ["127.0.0.1:9000"]
+host_list = ["127.0.0.1:9000"]
+TOML
+}
+
+start_fleet() {
+  local i fence
+  mkdir -p "$FLEET_DIR"
+  rm -f "$FLEET_DIR"/*.pid "$FLEET_DIR"/*.log
+  host_list >"$FLEET_DIR/hosts.json"
+  start_process platform bin/citronstub platform --listen 127.0.0.1:9000 --config "$FLEET_CONFIG" --hosts "$FLEET_DIR/hosts.json"
+  for i in $(seq "$FLEET_ENGINES"); do
+    fence=()
+    [ $((i % 2)) = 0 ] && fence=(--checks-fence)
+    start_process "engine-$i" bin/citronstub engine --listen 127.0.0.1:$((9100 + i)) --name "engine-$i" --model "$FLEET_MODEL" \
+      --capacity "$FLEET_CAPACITY" --weight-store 127.0.0.1:9000 --seed "$i" "${fence[@]}"
+  done
+  for i in 1 2; do
+    start_process "booking-$i" bin/citronstub service --listen 127.0.0.1:$((9200 + i)) --name "booking-$i"
+  done
+  start_process stock-1 bin/citronstub service --listen 127.0.0.1:9211 --name stock-1
+  for i in $(seq "$FLEET_HOSTS"); do
+    host_settings "$i" >"$FLEET_DIR/host-$i.toml"
+    start_process "host-$i" bin/citrond --settings "$FLEET_DIR/host-$i.toml"
+  done
+}
+
+wait_ready() {
+  local i tries
+  for i in $(seq "$FLEET_HOSTS"); do
+    tries=0
+    until curl -fsS -o /dev/null "http://127.0.0.1:$((8280 + i))/readyz" 2>/dev/null; do
+      tries=$((tries + 1))
+      if [ "$tries" -gt 600 ]; then
+        echo "host-$i did not become ready; last lines of its log:" >&2
+        tail -5 "$FLEET_DIR/host-$i.log" >&2
+        return 1
+      fi
+      sleep 0.1
+    done
+  done
+}
+
+print_teams() {
+  local team
+  for team in $FLEET_TEAMS; do
+    echo "team=$team token=demo-token-$team"
+  done
+}
+
+stop_fleet() {
+  local pid
+  for pid in "${FLEET_PIDS[@]}"; do
+    kill -TERM "$pid" 2>/dev/null || true
+  done
+  for pid in "${FLEET_PIDS[@]}"; do
+    wait "$pid" 2>/dev/null || true
+  done
+}
