--- /dev/null
+++ b/balancer/set_test.go
@@ -0,0 +1,145 @@
+package balancer
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	_ "github.com/citronscale/citronscale/internal/testseed"
+	"github.com/citronscale/citronscale/upstream"
+)
+
+const testModel = "model-a"
+
+func newTestSet(loads []Load) *Set {
+	set := NewSet("domain-0", DefaultOptions())
+	for i := range loads {
+		set.Put(&upstream.Info{Name: loads[i].Name, Model: testModel, FailureDomain: loads[i].FailureDomain})
+		set.Report(testReport(&loads[i]))
+	}
+	return set
+}
+
+func testReport(load *Load) *upstream.Report {
+	return &upstream.Report{
+		Name:           load.Name,
+		Model:          testModel,
+		Version:        "v1",
+		AsOf:           load.AsOf,
+		CapacityTokens: load.CapacityTokens,
+		UsedTokens:     load.UsedTokens,
+	}
+}
+
+func TestSetCountsOwnWorkUntilAReportHoldsIt(t *testing.T) {
+	loads := fleet(1)
+	set := newTestSet(loads)
+	set.Started(epoch.Add(time.Second), loads[0].Name, 1000)
+	set.Started(epoch.Add(2*time.Second), loads[0].Name, 500)
+	unseen := func() uint64 {
+		load, ok := set.Load(loads[0].Name)
+		assert.Assert(t, ok)
+		return load.UnseenTokens
+	}
+	assert.Equal(t, unseen(), uint64(1500))
+	loads[0].AsOf = epoch.Add(time.Second)
+	set.Report(testReport(&loads[0]))
+	assert.Equal(t, unseen(), uint64(500))
+	set.OwnerFree(epoch.Add(3*time.Second), loads[0].Name, 0)
+	assert.Equal(t, unseen(), uint64(0))
+}
+
+func TestSetKnowsCachedPrefixesUntilEvictionOrGap(t *testing.T) {
+	loads := fleet(20)
+	set := newTestSet(loads)
+	holder := loads[7]
+	req := &Request{Model: testModel, PromptTokens: 3000, PrefixDigests: []uint64{11, 22}}
+	report := testReport(&holder)
+	report.CacheEvents = []upstream.CacheEvent{{Sequence: 1, Digest: 22, Tokens: 2048}}
+	set.Report(report)
+	for range 20 {
+		assert.Equal(t, set.Pick(epoch, req, newRand())[0], holder.Name)
+	}
+	report.CacheEvents = []upstream.CacheEvent{{Sequence: 3, Digest: 99, Tokens: 1024}}
+	set.Report(report)
+	holders, _ := set.longestCached(req)
+	assert.Equal(t, len(holders), 0, "the gap may hide an eviction")
+	report.CacheEvents = []upstream.CacheEvent{{Sequence: 4, Digest: 11, Tokens: 1024}}
+	set.Report(report)
+	holders, tokens := set.longestCached(req)
+	assert.Equal(t, len(holders), 1)
+	assert.Equal(t, tokens, uint64(1024))
+	report.CacheEvents = []upstream.CacheEvent{{Sequence: 5, Digest: 11, Evicted: true}}
+	set.Report(report)
+	holders, _ = set.longestCached(req)
+	assert.Equal(t, len(holders), 0)
+}
+
+func TestSetNeverPicksEnginesThatGetNoWork(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		loads := fleet(6)
+		set := newTestSet(loads)
+		barred := make(map[upstream.Name]bool)
+		rng := newRand()
+		engine := rapid.IntRange(0, len(loads)-1)
+		mark := func(name upstream.Name, bar bool) { barred[name] = bar }
+		t.Repeat(map[string]func(*rapid.T){
+			"fail": func(t *rapid.T) {
+				name, failed := loads[engine.Draw(t, "engine")].Name, rapid.Bool().Draw(t, "failed")
+				set.SetFailed(name, failed)
+				mark(name, failed)
+			},
+			"report": func(t *rapid.T) {
+				load := loads[engine.Draw(t, "engine")]
+				load.UsedTokens = rapid.Uint64Range(0, 1<<20).Draw(t, "used")
+				set.Report(testReport(&load))
+			},
+			"start": func(t *rapid.T) {
+				set.Started(epoch.Add(time.Second), loads[engine.Draw(t, "engine")].Name, 100)
+			},
+			"replace": func(t *rapid.T) {
+				load := loads[engine.Draw(t, "engine")]
+				set.Remove(load.Name)
+				set.Put(&upstream.Info{Name: load.Name, Model: testModel})
+				mark(load.Name, false)
+			},
+			"": func(t *rapid.T) {
+				req := &Request{Model: testModel, PromptTokens: 5000, PrefixDigests: []uint64{rapid.Uint64().Draw(t, "digest")}}
+				picked := set.Pick(epoch, req, rng)
+				for _, name := range picked {
+					assert.Assert(t, !barred[name], "picked %s", name)
+				}
+				usable := len(set.Loads(testModel))
+				assert.Equal(t, len(picked) > 0, usable > 0)
+				checkSums(t, set)
+			},
+		})
+	})
+}
+
+// checkSums recomputes the sums of the pool and the home of each slot.
+func checkSums(t *rapid.T, set *Set) {
+	p := set.pools[testModel]
+	if p == nil {
+		return
+	}
+	var used, capacity uint64
+	for i, e := range p.engines {
+		assert.Equal(t, e.index, i)
+		used += e.load.UsedTokens + e.load.QueuedTokens + e.load.UnseenTokens
+		capacity += e.load.CapacityTokens
+	}
+	assert.Equal(t, p.used, used)
+	assert.Equal(t, p.capacity, capacity)
+	for slot := 0; slot < homeSlots; slot += 997 {
+		best := p.engines[0]
+		for _, e := range p.engines {
+			if mix(uint64(slot)*slotFactor^e.hash) > mix(uint64(slot)*slotFactor^best.hash) {
+				best = e
+			}
+		}
+		assert.Equal(t, p.homes.winners[slot], best)
+	}
+}
--- /dev/null
+++ b/lease/book.go
@@ -0,0 +1,233 @@
+package lease
+
+import (
+	"math"
+	"time"
+
+	peerv1 "github.com/citronscale/citronscale/api/peer/v1"
+	"github.com/citronscale/citronscale/balancer"
+	"github.com/citronscale/citronscale/upstream"
+)
+
+// BookOptions are the rules of one holder.
+type BookOptions struct {
+	Margin      time.Duration // by which a lease ends before the owner ends it
+	RenewBefore time.Duration // a lease in use is renewed this long before its end
+	WantAhead   time.Duration // a request asks for the demand of this time to come
+	MaxWant     uint64        // largest grant asked for above the need, in tokens
+}
+
+// DefaultBookOptions returns the rules in use unless the configuration says
+// otherwise.
+func DefaultBookOptions() BookOptions {
+	return BookOptions{
+		Margin:      500 * time.Millisecond,
+		RenewBefore: 750 * time.Millisecond,
+		WantAhead:   time.Second,
+		MaxWant:     1 << 20,
+	}
+}
+
+// Line names one lease of a holder.
+type Line struct {
+	Engine upstream.Name
+	Class  balancer.Class
+}
+
+// Permit is the right to run one piece of work on an engine. The host keeps it
+// until the engine is known to have freed the memory: after the end of the
+// stream, or after Cancel was acknowledged.
+type Permit struct {
+	Line    Line
+	Tokens  uint64
+	Expires time.Time // the work must be sent before; zero if not bound to a lease
+}
+
+// lineState is what the holder has of one lease.
+type lineState struct {
+	limit    uint64    // tokens that may be in use until expires
+	expires  time.Time // on the holder's clock
+	inUse    uint64
+	sequence uint64    // of the newest request; zero if it was answered or given up
+	claimed  uint64    // held_tokens of that request
+	sent     time.Time // of that request
+	takes    float64   // tokens taken in the current and last period
+	period   time.Time // start of the current period
+	previous float64
+}
+
+// Book holds the leases of one host.
+type Book struct {
+	options  BookOptions
+	holder   Holder
+	sequence uint64
+	lines    map[Line]*lineState
+}
+
+// NewBook returns a book without leases.
+func NewBook(options BookOptions, holder Holder) *Book {
+	return &Book{options: options, holder: holder, lines: make(map[Line]*lineState)}
+}
+
+// Take admits work of the given size if the lease allows it at this moment.
+func (b *Book) Take(now time.Time, line Line, tokens uint64) (Permit, bool) {
+	s := b.line(line)
+	if !now.Before(s.expires) || s.inUse+tokens > s.limit {
+		return Permit{}, false
+	}
+	s.inUse += tokens
+	b.observe(now, s, tokens)
+	return Permit{Line: line, Tokens: tokens, Expires: s.expires}, true
+}
+
+// Force admits work without a lease. The host does so only if the owner of the
+// engine can't be reached; the engine's own admission is the limit then.
+func (b *Book) Force(line Line, tokens uint64) Permit {
+	b.line(line).inUse += tokens
+	return Permit{Line: line, Tokens: tokens}
+}
+
+// Return gives back the tokens of a permit. They can be taken again at once as
+// long as the lease lasts.
+func (b *Book) Return(permit Permit) {
+	s := b.line(permit.Line)
+	s.inUse = saturatingSub(s.inUse, permit.Tokens)
+}
+
+// Free returns the tokens that Take would admit now.
+func (b *Book) Free(now time.Time, line Line) uint64 {
+	s := b.lines[line]
+	if s == nil || !now.Before(s.expires) {
+		return 0
+	}
+	return saturatingSub(s.limit, s.inUse)
+}
+
+// InUse returns the tokens of all permits that were not given back.
+func (b *Book) InUse(line Line) uint64 {
+	if s := b.lines[line]; s != nil {
+		return s.inUse
+	}
+	return 0
+}
+
+// Request builds the request for a lease that covers work of need tokens on top
+// of what is in use. With need zero it renews what the recent demand justifies
+// and gives back the rest. A newer request replaces one that is not answered.
+func (b *Book) Request(now time.Time, line Line, need uint64) *peerv1.LeaseRequest {
+	s := b.line(line)
+	want := b.want(now, s)
+	s.limit = max(s.inUse, min(b.valid(now, s), s.inUse+max(want, need)))
+	b.sequence++
+	s.sequence = b.sequence
+	s.claimed = s.limit
+	s.sent = now
+	idle := s.limit - s.inUse
+	return &peerv1.LeaseRequest{
+		Host:        string(b.holder.Host),
+		Incarnation: uint64(b.holder.Incarnation),
+		Upstream:    string(line.Engine),
+		Class:       line.Class.Wire(),
+		NeedTokens:  clamp32(saturatingSub(need, idle)),
+		WantTokens:  clamp32(saturatingSub(max(want, need), idle)),
+		Sequence:    s.sequence,
+		HeldTokens:  clamp32(s.claimed),
+	}
+}
+
+// valid returns the tokens that the lease still allows to be in use.
+func (b *Book) valid(now time.Time, s *lineState) uint64 {
+	if !now.Before(s.expires) {
+		return s.inUse
+	}
+	return s.limit
+}
+
+// Response takes in the answer to a request. Answers to any but the newest
+// request of the line are ignored.
+func (b *Book) Response(line Line, sequence uint64, response *peerv1.LeaseResponse) {
+	s := b.lines[line]
+	if s == nil || s.sequence == 0 || s.sequence != sequence {
+		return
+	}
+	s.sequence = 0
+	if response.GetLeaving() {
+		s.limit = s.inUse
+	}
+	if response.GetTtlMs() == 0 || response.GetNotOwner() || response.GetLeaving() {
+		return
+	}
+	s.limit = s.claimed + uint64(response.GetGrantedTokens())
+	ttl := time.Duration(response.GetTtlMs()) * time.Millisecond
+	s.expires = s.sent.Add(ttl - b.options.Margin)
+}
+
+// Outstanding reports whether a request of the line waits for its answer. The
+// host then lets further work wait for that answer instead of asking again.
+func (b *Book) Outstanding(line Line) bool {
+	s := b.lines[line]
+	return s != nil && s.sequence != 0
+}
+
+// Failed records that a request was not answered.
+func (b *Book) Failed(line Line, sequence uint64) {
+	if s := b.lines[line]; s != nil && s.sequence == sequence {
+		s.sequence = 0
+	}
+}
+
+// Due returns the leases that the host should renew or give back now, by
+// sending a Request with need zero, and forgets lines that hold nothing.
+func (b *Book) Due(now time.Time) []Line {
+	var due []Line
+	for line, s := range b.lines {
+		expired := !now.Before(s.expires)
+		switch {
+		case expired && s.inUse == 0 && s.sequence == 0:
+			delete(b.lines, line)
+		case s.sequence != 0:
+			continue
+		case expired && s.inUse > 0 && !now.Before(s.sent.Add(b.options.RenewBefore)):
+			due = append(due, line)
+		case !expired && s.expires.Sub(now) <= b.options.RenewBefore && s.limit > 0:
+			due = append(due, line)
+		}
+	}
+	return due
+}
+
+func (b *Book) line(line Line) *lineState {
+	s := b.lines[line]
+	if s == nil {
+		s = &lineState{}
+		b.lines[line] = s
+	}
+	return s
+}
+
+// observe counts tokens taken, in periods of WantAhead.
+func (b *Book) observe(now time.Time, s *lineState, tokens uint64) {
+	b.turn(now, s)
+	s.takes += float64(tokens)
+}
+
+func (b *Book) turn(now time.Time, s *lineState) {
+	elapsed := now.Sub(s.period)
+	switch {
+	case elapsed >= 2*b.options.WantAhead:
+		s.previous, s.takes, s.period = 0, 0, now
+	case elapsed >= b.options.WantAhead:
+		s.previous, s.takes, s.period = s.takes, 0, now
+	}
+}
+
+// want returns the tokens to hold above what is in use: the demand expected
+// within WantAhead.
+func (b *Book) want(now time.Time, s *lineState) uint64 {
+	b.turn(now, s)
+	return min(uint64(max(s.takes, s.previous)), b.options.MaxWant)
+}
+
+func clamp32(tokens uint64) uint32 {
+	return uint32(min(tokens, math.MaxUint32))
+}
--- /dev/null
+++ b/retry/budget.go
@@ -0,0 +1,65 @@
+package retry
+
+import "time"
+
+// BudgetOptions bound the retries of one host.
+type BudgetOptions struct {
+	Ratio     float64 // retries allowed for each first attempt
+	PerSecond float64 // retries allowed each second whatever the traffic
+	Burst     float64 // retries that can be saved up
+}
+
+// DefaultBudgetOptions returns the options in use unless the configuration
+// says otherwise.
+func DefaultBudgetOptions() BudgetOptions {
+	return BudgetOptions{Ratio: 0.1, PerSecond: 1, Burst: 20}
+}
+
+// Budget is a token bucket that first attempts and time fill and retries drain.
+// Over any period it grants at most Burst + Ratio*(first attempts) +
+// PerSecond*(seconds) retries.
+type Budget struct {
+	options BudgetOptions
+	level   float64
+	updated time.Time
+}
+
+// NewBudget returns a full budget.
+func NewBudget(options BudgetOptions, now time.Time) *Budget {
+	return &Budget{options: options, level: options.Burst, updated: now}
+}
+
+// First records a first attempt.
+func (b *Budget) First(now time.Time) {
+	b.refill(now)
+	b.add(b.options.Ratio)
+}
+
+// Take takes one retry out of the budget and reports whether there was one.
+func (b *Budget) Take(now time.Time) bool {
+	b.refill(now)
+	if b.level < 1 {
+		return false
+	}
+	b.level--
+	return true
+}
+
+// Level returns the number of retries that the budget allows at once.
+func (b *Budget) Level(now time.Time) float64 {
+	b.refill(now)
+	return b.level
+}
+
+func (b *Budget) refill(now time.Time) {
+	elapsed := now.Sub(b.updated)
+	if elapsed <= 0 {
+		return
+	}
+	b.updated = now
+	b.add(b.options.PerSecond * elapsed.Seconds())
+}
+
+func (b *Budget) add(tokens float64) {
+	b.level = min(b.options.Burst, b.level+tokens)
+}
