--- a/internal/stub/enginestub/handler.go
+++ b/internal/stub/enginestub/handler.go
@@ -25,7 +25,7 @@
 	mux.HandleFunc("POST "+enginewire.PathOrder, e.handleOrder)
 	mux.HandleFunc("GET "+enginewire.PathReport, e.handleReport)
 	mux.HandleFunc("GET "+enginewire.PathExport, e.handleExport)
-	mux.HandleFunc("GET /control/log", func(w http.ResponseWriter, _ *http.Request) { stubhttp.WriteJSON(w, e.Runs()) })
+	mux.HandleFunc("GET /control/log", e.controlLog)
 	mux.HandleFunc("GET /control/orders", func(w http.ResponseWriter, _ *http.Request) { stubhttp.WriteJSON(w, e.Orders()) })
 	mux.HandleFunc("GET /control/state", func(w http.ResponseWriter, _ *http.Request) { stubhttp.WriteJSON(w, e.State()) })
 	mux.HandleFunc("POST /control/leaving", stubhttp.Control("on", e.SetLeaving))
--- a/internal/stub/enginestub/runs.go
+++ b/internal/stub/enginestub/runs.go
@@ -1,5 +1,12 @@
 package enginestub
 
+import (
+	"net/http"
+	"strconv"
+
+	"github.com/citronscale/citronscale/internal/stub/stubhttp"
+)
+
 // maxRuns bounds the record of runs.
 const maxRuns = 200_000
 
@@ -30,15 +37,27 @@
 
 // Runs returns a copy of the record of runs in the order of acceptance.
 func (e *Engine) Runs() []Run {
+	return e.runsSince(0)
+}
+
+// runsSince returns the runs accepted at a time in Unix milliseconds or later.
+func (e *Engine) runsSince(acceptedMS int64) []Run {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	runs := make([]Run, 0, len(e.runs))
+	runs := []Run{}
 	for _, run := range e.runs {
-		runs = append(runs, *run)
+		if run.AcceptedMS >= acceptedMS {
+			runs = append(runs, *run)
+		}
 	}
 	return runs
 }
 
+func (e *Engine) controlLog(w http.ResponseWriter, r *http.Request) {
+	since, _ := strconv.ParseInt(r.URL.Query().Get("since"), 10, 64) // absent: all runs
+	stubhttp.WriteJSON(w, e.runsSince(since))
+}
+
 func (e *Engine) addRun(run *Run) {
 	if len(e.runs) >= maxRuns {
 		e.runs = e.runs[len(e.runs)-maxRuns/2:]
