enginehttp: read the attempt identifier once per stream; bound answer headers

servicehttp refuses a path that does not begin with a slash: it would change the address that the call is sent to.

--- a/internal/stub/enginestub/stream.go
+++ b/internal/stub/enginestub/stream.go
@@ -67,14 +67,13 @@
 func (e *Engine) nextFrames(j *job, sent uint64) ([]enginewire.Frame, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	attempt := enginewire.Attempt(j.attempt)
 	if j.state == stateCancelled || j.state == stateFailed {
-		return []enginewire.Frame{{Attempt: attempt, Offset: sent, Error: j.fault}}, true
+		return []enginewire.Frame{{Attempt: j.key, Offset: sent, Error: j.fault}}, true
 	}
 	var frames []enginewire.Frame
 	if j.generated > sent {
 		frame := enginewire.Frame{
-			Attempt: attempt,
+			Attempt: j.key,
 			Offset:  sent,
 			Text:    AnswerText(j.digest, sent, j.generated),
 			Tokens:  uint32(j.generated - sent),
@@ -87,7 +86,7 @@
 	if j.state != stateFinished {
 		return frames, false
 	}
-	end := enginewire.Frame{Attempt: attempt, Offset: j.generated, Done: true, FinishReason: j.reason}
+	end := enginewire.Frame{Attempt: j.key, Offset: j.generated, Done: true, FinishReason: j.reason}
 	return append(frames, end), true
 }
 
--- a/upstream/enginehttp/client.go
+++ b/upstream/enginehttp/client.go
@@ -29,6 +29,9 @@
 	DefaultMaxBodyBytes  = 4 << 20
 )
 
+// maxHeaderBytes bounds the headers of an answer.
+const maxHeaderBytes = 64 << 10
+
 func (o Options) withDefaults() Options {
 	setDefault(&o.DialTimeout, DefaultDialTimeout)
 	setDefault(&o.AcceptTimeout, DefaultAcceptTimeout)
@@ -71,6 +74,8 @@
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: options.MaxIdle,
 		IdleConnTimeout:     options.IdleTimeout,
+
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 }
 
--- a/upstream/enginehttp/engine.go
+++ b/upstream/enginehttp/engine.go
@@ -88,7 +88,7 @@
 		cancel()
 		return nil, err
 	}
-	return newStream(e, body, cancel), nil
+	return newStream(e, body, cancel, req.Attempt), nil
 }
 
 // call sends a message and decodes the answer, if answer is not nil.
--- a/upstream/enginehttp/engine_test.go
+++ b/upstream/enginehttp/engine_test.go
@@ -377,7 +377,7 @@
 	f.Add(fmt.Sprintf("data: {\"attempt\":%q,\"offset\":0,\"text\":\"abc \",\"tokens\":1}\n\n", attempt))
 	f.Add("event: x\ndata:{}\n\n")
 	f.Fuzz(func(t *testing.T, body string) {
-		reader := enginehttp.NewStreamReader(io.NopCloser(strings.NewReader(body)))
+		reader := enginehttp.NewStreamReader(io.NopCloser(strings.NewReader(body)), newAttempt(1))
 		for {
 			frame, err := reader.Next()
 			if errors.Is(err, io.EOF) {
--- a/upstream/enginehttp/stream.go
+++ b/upstream/enginehttp/stream.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/citronscale/citronscale/ident"
 	"github.com/citronscale/citronscale/upstream"
 	"github.com/citronscale/citronscale/upstream/enginewire"
 )
@@ -22,23 +23,27 @@
 )
 
 type stream struct {
-	engine *engine
-	body   io.ReadCloser
-	lines  *bufio.Reader
-	long   []byte // collects a line that exceeds the buffer of lines
-	cancel context.CancelFunc
-	close  sync.Once
-	done   atomic.Bool
-	err    error
+	engine  *engine
+	attempt ident.Attempt // asked for
+	text    string        // textual form of attempt
+	body    io.ReadCloser
+	lines   *bufio.Reader
+	long    []byte // collects a line that exceeds the buffer of lines
+	cancel  context.CancelFunc
+	close   sync.Once
+	done    atomic.Bool
+	err     error
 }
 
-func newStream(e *engine, body io.ReadCloser, cancel context.CancelFunc) *stream {
+func newStream(e *engine, body io.ReadCloser, cancel context.CancelFunc, attempt ident.Attempt) *stream {
 	const bufferBytes = 1 << 10
 	return &stream{
-		engine: e,
-		body:   body,
-		lines:  bufio.NewReaderSize(body, bufferBytes),
-		cancel: cancel,
+		engine:  e,
+		attempt: attempt,
+		text:    attempt.String(),
+		body:    body,
+		lines:   bufio.NewReaderSize(body, bufferBytes),
+		cancel:  cancel,
 	}
 }
 
@@ -76,7 +81,20 @@
 	if message.Error != "" {
 		return upstream.Frame{}, fmt.Errorf("the engine gave up: %s", message.Error)
 	}
-	return message.Upstream(), nil
+	attempt, err := s.attemptOf(&message)
+	if err != nil {
+		return upstream.Frame{}, fmt.Errorf("frame can't be read: %w", err)
+	}
+	return message.Upstream(attempt), nil
+}
+
+// attemptOf returns the attempt of a frame. Most frames carry the one that was
+// asked for; a frame of another one is left for the reader to judge.
+func (s *stream) attemptOf(message *enginewire.Frame) (ident.Attempt, error) {
+	if message.Attempt == s.text {
+		return s.attempt, nil
+	}
+	return ident.ParseAttempt(message.Attempt)
 }
 
 // nextData returns the data of the next event. Only complete lines count.
--- a/upstream/enginewire/messages.go
+++ b/upstream/enginewire/messages.go
@@ -81,20 +81,21 @@
 // Frame is one piece of an answer, the data of one server-sent event. Exactly
 // one of Text, Done and Error says what it is.
 type Frame struct {
-	Attempt      Attempt `json:"attempt"`
-	Offset       uint64  `json:"offset"`
-	Text         string  `json:"text,omitempty"`
-	Tokens       uint32  `json:"tokens,omitempty"`
-	Done         bool    `json:"done,omitempty"`
-	FinishReason string  `json:"finish_reason,omitempty"`
-	CachedTokens uint32  `json:"cached_tokens,omitempty"`
-	Error        string  `json:"error,omitempty"` // the engine gave up; no end marker follows
+	Attempt      string `json:"attempt"` // textual form; read once per stream, not per frame
+	Offset       uint64 `json:"offset"`
+	Text         string `json:"text,omitempty"`
+	Tokens       uint32 `json:"tokens,omitempty"`
+	Done         bool   `json:"done,omitempty"`
+	FinishReason string `json:"finish_reason,omitempty"`
+	CachedTokens uint32 `json:"cached_tokens,omitempty"`
+	Error        string `json:"error,omitempty"` // the engine gave up; no end marker follows
 }
 
-// Upstream returns the frame as the upstream package knows it.
-func (f *Frame) Upstream() upstream.Frame {
+// Upstream returns the frame as the upstream package knows it. attempt is what
+// the textual form in the frame stands for.
+func (f *Frame) Upstream(attempt ident.Attempt) upstream.Frame {
 	return upstream.Frame{
-		Attempt:      ident.Attempt(f.Attempt),
+		Attempt:      attempt,
 		Offset:       f.Offset,
 		Text:         f.Text,
 		Tokens:       f.Tokens,
--- a/upstream/servicehttp/client.go
+++ b/upstream/servicehttp/client.go
@@ -21,6 +21,9 @@
 	DefaultMaxBodyBytes = 8 << 20
 )
 
+// maxHeaderBytes bounds the headers of an answer.
+const maxHeaderBytes = 64 << 10
+
 // Client calls plain services.
 type Client struct {
 	options   Options
@@ -42,6 +45,8 @@
 			DialContext:        sentconn.Dial(dialer.DialContext),
 			DisableKeepAlives:  true,
 			DisableCompression: true,
+
+			MaxResponseHeaderBytes: maxHeaderBytes,
 		},
 	}
 }
--- a/upstream/servicehttp/service.go
+++ b/upstream/servicehttp/service.go
@@ -38,6 +38,9 @@
 }
 
 func (s *service) newRequest(ctx context.Context, call *upstream.CallRequest) (*http.Request, error) {
+	if !strings.HasPrefix(call.Path, "/") {
+		return nil, fmt.Errorf("path %q does not begin with a slash", call.Path)
+	}
 	// The type of the reader hides the bytes, so that the body can't be rewound.
 	body := io.NopCloser(bytes.NewReader(call.Body))
 	req, err := http.NewRequestWithContext(ctx, call.Method, s.base+call.Path, body)
--- a/upstream/servicehttp/service_test.go
+++ b/upstream/servicehttp/service_test.go
@@ -169,3 +169,13 @@
 	_, err = servicehttp.NewClient(servicehttp.Options{}).Service("pallets-1", server.Address()).Call(t.Context(), newCall("a"))
 	wantSent(t, err, upstream.SentSome)
 }
+
+func TestPathCannotChangeTheAddress(t *testing.T) {
+	stub, server := startStub(t)
+	call := newCall("a")
+	call.Path = "@127.0.0.1:1/"
+	_, err := servicehttp.NewClient(servicehttp.Options{}).Service("pallets-1", server.Address()).Call(t.Context(), call)
+	assert.ErrorContains(t, err, "does not begin with a slash")
+	wantSent(t, err, upstream.SentNothing)
+	assert.Equal(t, len(stub.Calls()), 0)
+}
