Thin whole path: callers, entry hosts, engines, plain services, demo fleet

The host drives the attempt machine, leases and queues of the decision packages. Membership is not wired in yet: every host owns all engines for now.

The test of the buffer pool failed because it did not release what failed reads had reserved, as the gateway does; it does now.

--- a/host/agreement.go
+++ b/host/agreement.go
@@ -3,22 +3,27 @@
 import (
 	"errors"
 	"sync"
+	"time"
 
 	"github.com/citronscale/citronscale/config"
-	"github.com/citronscale/citronscale/directory"
 	"github.com/citronscale/citronscale/event"
+	"github.com/citronscale/citronscale/ident"
 	"github.com/citronscale/citronscale/platform"
+	"github.com/citronscale/citronscale/reclaim"
+	"github.com/citronscale/citronscale/upstream"
 )
 
-// agreement holds the configuration in force.
+// agreement holds what this host shares with the others: the configuration in
+// force and the membership.
 type agreement struct {
+	self    ident.Host
 	mu      sync.Mutex
 	inForce *config.Config
-	log     *event.Logger
+	since   time.Time // when the configuration came into force here
 }
 
-func newAgreement(log *event.Logger) *agreement {
-	return &agreement{log: log}
+func newAgreement(self ident.Host) *agreement {
+	return &agreement{self: self}
 }
 
 // config returns the configuration in force.
@@ -37,6 +42,26 @@
 	return cfg.Revision
 }
 
+// age returns how long the configuration has been in force here.
+func (a *agreement) age(now time.Time) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.inForce == nil {
+		return 0
+	}
+	return now.Sub(a.since)
+}
+
+// owner returns the host that owns an engine.
+func (a *agreement) owner(upstream.Name) ident.Host {
+	return a.self
+}
+
+// reclaimView returns the membership as the reclaim package needs it.
+func (a *agreement) reclaimView() reclaim.View {
+	return reclaim.NewView(nil)
+}
+
 // offerConfig judges a document from the service or a peer.
 func (h *Host) offerConfig(document platform.Document) {
 	cfg, err := config.Parse(document.Revision, document.Data)
@@ -47,16 +72,8 @@
 	}
 	h.agreement.mu.Lock()
 	h.agreement.inForce = cfg
+	h.agreement.since = time.Now()
 	h.agreement.mu.Unlock()
 	h.log.Emit(event.ConfigAccepted).Uint64("revision", cfg.Revision).Msg("")
 	h.lifecycle.configured()
 }
-
-// noteUpstreams logs new states of upstreams.
-func (h *Host) noteUpstreams(changes []directory.Change) {
-	for _, change := range changes {
-		if e, ok := upstreamEvents[change.State]; ok {
-			h.log.Emit(e).Str("upstream", string(change.Name)).Bool("restarted", change.Restarted).Msg("")
-		}
-	}
-}
--- /dev/null
+++ b/host/attempts.go
@@ -0,0 +1,149 @@
+package host
+
+import (
+	"context"
+	"time"
+
+	"github.com/citronscale/citronscale/attempt"
+	"github.com/citronscale/citronscale/balancer"
+	"github.com/citronscale/citronscale/code"
+	"github.com/citronscale/citronscale/event"
+	"github.com/citronscale/citronscale/gateway"
+	"github.com/citronscale/citronscale/ident"
+	"github.com/citronscale/citronscale/strike"
+	"github.com/citronscale/citronscale/upstream"
+)
+
+const (
+	cancelTimeout  = 2 * time.Second
+	crashProbe     = 500 * time.Millisecond // time for a report that tells a crash from a cut
+	trialPoll      = 20 * time.Millisecond  // between two tries to run isolated content alone
+	slowestPrefill = 2_000                  // tokens per second; an engine below it counts as silent
+)
+
+// generate sends an attempt to its engine or engines.
+func (h *Host) generate(ctx context.Context, p *placed, c *gateway.Completion, a attempt.Send) (upstream.Stream, error) {
+	tokens := upstream.CountTokens(c.Prompt)
+	request := &upstream.GenerateRequest{
+		Attempt: a.Attempt, Model: c.Model, Prompt: c.Prompt, PromptTokens: tokens, MaxTokens: c.MaxTokens,
+		Priority: h.classify(tokens).Priority(), ResumeOffset: a.ResumeOffset, ResumeText: a.ResumeText,
+	}
+	if p.gang != nil {
+		return h.generateGang(ctx, p.gang, request)
+	}
+	engine, ok := h.directory.Engine(p.upstream)
+	if !ok {
+		return nil, &upstream.Error{Upstream: p.upstream, Sent: upstream.SentNothing, Err: errNotListed}
+	}
+	return engine.Generate(ctx, request)
+}
+
+// cancelAtEngine ends an attempt at its engine. The owner of the engine
+// reclaims what a lost cancel leaves.
+func (h *Host) cancelAtEngine(name upstream.Name, a ident.Attempt) {
+	engine, ok := h.directory.Engine(name)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+	defer cancel()
+	_ = engine.Cancel(ctx, a)
+}
+
+// firstFrameTimeout returns how long an engine may take to the first frame: the
+// progress timeout and the time to compute the prompt.
+func firstFrameTimeout(request *balancer.Request, progress time.Duration) time.Duration {
+	return progress + time.Duration(request.PromptTokens)*time.Second/slowestPrefill
+}
+
+// noteFailure tells the parts of the host that an attempt failed.
+func (h *Host) noteFailure(r *completionRun, failure *upstream.Error) {
+	if failure.Refused == upstream.RefusedLeaving {
+		h.noteUpstreams(h.directory.RefusedLeaving(time.Now(), failure.Upstream))
+	}
+	if failure.NotRun() && failure.Refused == "" {
+		suspect := h.fleetPolicy().SuspectTime
+		h.noteUpstreams(h.directory.ReportLost(time.Now(), failure.Upstream, suspect))
+	}
+	if !failure.NotRun() {
+		h.probeCrash(r, failure.Upstream)
+	}
+}
+
+// probeCrash asks an engine whose stream broke for a report. An engine that
+// refuses the connection, or reports a new incarnation, has crashed; the content
+// of this host that ran there becomes suspect.
+func (h *Host) probeCrash(r *completionRun, name upstream.Name) {
+	status, ok := h.directory.Status(name)
+	engine, found := h.directory.Engine(name)
+	if !ok || !found {
+		return
+	}
+	var before uint64
+	if status.Report != nil {
+		before = status.Report.Incarnation
+	}
+	ctx, cancel := context.WithTimeout(r.work, crashProbe)
+	defer cancel()
+	asked := time.Now()
+	report, err := engine.Report(ctx)
+	if err == nil {
+		h.takeReport(asked, report)
+		if before == 0 || report.Incarnation == before {
+			return
+		}
+	} else if failure := asUpstreamError(name, err); failure.Sent != upstream.SentNothing || ctx.Err() != nil {
+		return
+	}
+	if count := h.strikes.crashed(time.Now(), name, before); count > 0 {
+		h.log.Emit(event.ContentStruck).Str("upstream", string(name)).Str("request", r.c.Request.String()).Int("suspects", count).Msg("")
+	}
+}
+
+// awaitVerdict waits until the content may run: at once if nothing speaks
+// against it, alone if it is suspect. It fails if the content is refused. The
+// returned function ends a trial.
+func (h *Host) awaitVerdict(ctx context.Context, r *completionRun) (isolated bool, end func(), err error) {
+	for {
+		switch h.strikes.judge(time.Now(), r.content) {
+		case strike.Refuse:
+			h.log.Emit(event.ContentQuarantined).Str("request", r.c.Request.String()).Str("team", r.c.Team).Msg("")
+			return false, nil, code.New(code.RequestQuarantined, "engines crashed while they ran this content")
+		case strike.Isolate:
+			if h.strikes.startTrial(r.content) {
+				return true, func() { h.strikes.endTrial(r.content) }, nil
+			}
+		default:
+			return false, func() {}, nil
+		}
+		pause(ctx, trialPoll)
+		if ctx.Err() != nil {
+			return false, nil, code.New(code.NoCapacity, "the request ended while its content waited to run alone")
+		}
+	}
+}
+
+// placeContent places a request once its content may run. Suspect content gets
+// an engine of its own.
+func (h *Host) placeContent(ctx context.Context, r *completionRun, request *balancer.Request) (*placed, error) {
+	isolated, endTrial, err := h.awaitVerdict(ctx, r)
+	if err != nil {
+		return nil, err
+	}
+	if isolated {
+		h.placement.isolate(request)
+	}
+	p, err := h.placeCompletion(ctx, request)
+	if err != nil {
+		endTrial()
+		return nil, err
+	}
+	endRun := h.strikes.begin(p.upstream, r.content)
+	release := p.release
+	p.release = func() {
+		release()
+		endRun()
+		endTrial()
+	}
+	return p, nil
+}
--- a/host/backend.go
+++ b/host/backend.go
@@ -5,19 +5,12 @@
 
 	peerv1 "github.com/citronscale/citronscale/api/peer/v1"
 	"github.com/citronscale/citronscale/balancer"
-	"github.com/citronscale/citronscale/chart"
 	"github.com/citronscale/citronscale/code"
 	"github.com/citronscale/citronscale/event"
 	"github.com/citronscale/citronscale/gateway"
 	"github.com/citronscale/citronscale/ident"
 )
 
-var upstreamEvents = map[chart.State]event.Event{
-	chart.UpstreamUp:      event.UpstreamUp,
-	chart.UpstreamDown:    event.UpstreamDown,
-	chart.UpstreamLeaving: event.UpstreamLeaving,
-}
-
 // Ready implements gateway.Backend.
 func (h *Host) Ready() error {
 	return h.lifecycle.admitting(time.Now())
--- a/host/completion.go
+++ b/host/completion.go
@@ -47,7 +47,9 @@
 	open    *openAttempt // the attempt that holds an upstream
 	finish  *attempt.Finish
 	cached  uint32
-	started bool
+	started bool      // the current attempt sent a frame
+	sentAt  time.Time // of the current attempt
+	firstAt time.Time // first frame of the current attempt
 }
 
 // runEvent is what another goroutine tells the goroutine of the request.
@@ -90,7 +92,7 @@
 		Deadline:          c.Deadline,
 		FirstFrameTimeout: firstFrameTimeout(request, model.ProgressTimeout),
 		ProgressTimeout:   model.ProgressTimeout,
-		MaxAttempts:       gate.policy.MaxAttempts,
+		MaxAttempts:       h.placement.policy.MaxAttempts,
 		Retry:             gate,
 	})
 	return run, nil
@@ -125,6 +127,8 @@
 	if r.finish.Code != code.OK {
 		return nil, code.New(r.finish.Code, "%s", r.finish.Detail)
 	}
+	r.host.strikes.finished(r.content)
+	r.host.placement.learnFinished(r.finish.Tokens, time.Since(r.firstAt))
 	return &gateway.CompletionResult{
 		PromptTokens:     r.place.PromptTokens,
 		CompletionTokens: uint32(r.finish.Tokens),
@@ -161,7 +165,9 @@
 func (r *completionRun) handleFrame(now time.Time, frame *upstream.Frame) []attempt.Action {
 	if !r.started {
 		r.started = true
+		r.firstAt = now
 		r.cached = frame.CachedTokens
+		r.host.placement.learnFirstToken(r.place.PromptTokens, now.Sub(r.sentAt))
 		r.note(record.Running, code.OK, "")
 	}
 	return r.machine.FrameReceived(now, *frame)
@@ -223,7 +229,7 @@
 	notBefore := r.retries.notBefore
 	go func() {
 		pause(r.work, time.Until(notBefore))
-		p, err := r.host.placeCompletion(r.work, &request, r.content)
+		p, err := r.host.placeContent(r.work, r, &request)
 		if err != nil {
 			r.tell(r.work, runEvent{kind: eventNotPlaced, err: err})
 			return
@@ -243,6 +249,7 @@
 	r.open.cancel = cancel
 	r.open.end = r.host.directory.Begin(a.Upstream)
 	r.started = false
+	r.sentAt = time.Now()
 	r.note(record.Sending, code.OK, "")
 	placed := r.open.placed
 	go func() {
--- /dev/null
+++ b/host/engines.go
@@ -0,0 +1,228 @@
+package host
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/citronscale/citronscale/balancer"
+	"github.com/citronscale/citronscale/chart"
+	"github.com/citronscale/citronscale/config"
+	"github.com/citronscale/citronscale/directory"
+	"github.com/citronscale/citronscale/event"
+	"github.com/citronscale/citronscale/ident"
+	"github.com/citronscale/citronscale/lease"
+	"github.com/citronscale/citronscale/reclaim"
+	"github.com/citronscale/citronscale/upstream"
+)
+
+const (
+	stateLeaving = chart.UpstreamLeaving
+	stateDown    = chart.UpstreamDown
+
+	reportTimeout  = time.Second            // of one report
+	samplePeriod   = 100 * time.Millisecond // between two reports read from engines of other hosts
+	maxReportCalls = 16                     // reports read at once
+)
+
+var upstreamEvents = map[chart.State]event.Event{
+	chart.UpstreamUp:      event.UpstreamUp,
+	chart.UpstreamDown:    event.UpstreamDown,
+	chart.UpstreamLeaving: event.UpstreamLeaving,
+}
+
+// noteUpstreams logs new states of upstreams and hands them to the placement.
+func (h *Host) noteUpstreams(changes []directory.Change) {
+	if len(changes) == 0 {
+		return
+	}
+	h.placement.noteChanges(changes, h.directory)
+	for _, change := range changes {
+		if change.Restarted {
+			h.noteCrash(change.Name, change.Previous)
+		}
+		if e, ok := upstreamEvents[change.State]; ok {
+			h.log.Emit(e).Str("upstream", string(change.Name)).Bool("restarted", change.Restarted).Msg("")
+		}
+	}
+}
+
+// noteCrash strikes the own content that ran on an incarnation of an engine
+// that ended.
+func (h *Host) noteCrash(name upstream.Name, incarnation uint64) {
+	if count := h.strikes.crashed(time.Now(), name, incarnation); count > 0 {
+		h.log.Emit(event.ContentStruck).Str("upstream", string(name)).Int("suspects", count).Msg("")
+	}
+}
+
+// fleetPolicy returns the values of the configuration in force, or the zero
+// value while there is none.
+func (h *Host) fleetPolicy() config.FleetPolicy {
+	cfg, ok := h.agreement.config()
+	if !ok {
+		return config.FleetPolicy{}
+	}
+	return cfg.Fleet()
+}
+
+// tendEngines reads the reports of owned engines and acts on them: accounts,
+// work that nobody waits for, orders.
+func (h *Host) tendEngines(ctx context.Context) {
+	for ctx.Err() == nil {
+		started := time.Now()
+		h.readReports(ctx, h.ownedEngines(), h.tendEngine)
+		period := max(h.fleetPolicy().ReportPeriod, ownerTick)
+		pause(ctx, period-time.Since(started))
+	}
+}
+
+// sampleEngines reads the reports of other engines at a constant rate, for
+// their capacity and their prefix caches, in random order.
+func (h *Host) sampleEngines(ctx context.Context) {
+	var pending []upstream.Name
+	for ctx.Err() == nil {
+		if len(pending) == 0 {
+			pending = h.otherEngines()
+		}
+		if len(pending) > 0 {
+			h.readReports(ctx, pending[:1], nil)
+			pending = pending[1:]
+		}
+		pause(ctx, jitter(samplePeriod))
+	}
+}
+
+// otherEngines returns the engines that this host doesn't own in random order,
+// those without any report first.
+func (h *Host) otherEngines() []upstream.Name {
+	var fresh, known []upstream.Name
+	for _, s := range h.directory.Engines() {
+		switch {
+		case h.agreement.owner(s.Info.Name) == h.self:
+		case s.Report == nil:
+			fresh = append(fresh, s.Info.Name)
+		default:
+			known = append(known, s.Info.Name)
+		}
+	}
+	rand.Shuffle(len(fresh), func(i, j int) { fresh[i], fresh[j] = fresh[j], fresh[i] })
+	rand.Shuffle(len(known), func(i, j int) { known[i], known[j] = known[j], known[i] })
+	return append(fresh, known...)
+}
+
+// readReports reads one report from each engine and calls act, if any, with it.
+func (h *Host) readReports(ctx context.Context, names []upstream.Name, act func(context.Context, upstream.Engine, *upstream.Report, time.Time)) {
+	var group sync.WaitGroup
+	slots := make(chan struct{}, maxReportCalls)
+	for _, name := range names {
+		engine, ok := h.directory.Engine(name)
+		if !ok {
+			continue
+		}
+		slots <- struct{}{}
+		group.Go(func() {
+			defer func() { <-slots }()
+			asked := time.Now()
+			report, ok := h.readReport(ctx, name, engine)
+			if ok && act != nil {
+				act(ctx, engine, report, asked)
+			}
+		})
+	}
+	group.Wait()
+}
+
+func (h *Host) readReport(ctx context.Context, name upstream.Name, engine upstream.Engine) (*upstream.Report, bool) {
+	call, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	asked := time.Now()
+	report, err := engine.Report(call)
+	if err != nil {
+		if ctx.Err() == nil {
+			h.noteUpstreams(h.directory.ReportLost(time.Now(), name, h.fleetPolicy().SuspectTime))
+		}
+		return nil, false
+	}
+	h.takeReport(asked, report)
+	return report, true
+}
+
+// takeReport hands a report to the directory and the placement.
+func (h *Host) takeReport(asked time.Time, report *upstream.Report) {
+	h.noteUpstreams(h.directory.Reported(time.Now(), asked, report))
+	h.placement.takeReport(report)
+}
+
+func (p *placement) takeReport(report *upstream.Report) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.set.Report(report)
+}
+
+// tendEngine acts on the report of an owned engine.
+func (h *Host) tendEngine(ctx context.Context, engine upstream.Engine, report *upstream.Report, _ time.Time) {
+	h.placement.account(report, h.upstreamPolicy(report.Name))
+	h.reclaimWork(ctx, engine, report)
+	h.orderEngine(ctx, engine, report)
+}
+
+func (h *Host) upstreamPolicy(name upstream.Name) config.UpstreamPolicy {
+	cfg, ok := h.agreement.config()
+	if !ok {
+		return config.UpstreamPolicy{AcceptWork: true, CapacityShare: 1}
+	}
+	return cfg.Upstream(string(name))
+}
+
+// account books a report into the account of an owned engine.
+func (p *placement) account(report *upstream.Report, policy config.UpstreamPolicy) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	owner, ok := p.owners[report.Name]
+	if !ok {
+		return
+	}
+	owner.Report(time.Now(), &lease.EngineReport{
+		AsOf:           report.AsOf,
+		CapacityTokens: uint64(policy.CapacityShare * float64(report.CapacityTokens)),
+		Uses:           usesOf(report),
+		Leaving:        report.Leaving || !policy.AcceptWork || report.Version == "",
+	})
+}
+
+// usesOf returns the memory that each piece of work on an engine holds or
+// waits for.
+func usesOf(report *upstream.Report) []lease.Use {
+	var uses []lease.Use
+	for _, list := range [][]upstream.Work{report.Running, report.Waiting, report.Held} {
+		for _, work := range list {
+			uses = append(uses, lease.Use{Holder: holderOf(work.Attempt), Class: classOf(work.Priority), Tokens: uint64(work.Tokens)})
+		}
+	}
+	return uses
+}
+
+// classOf returns the class that engines serve with the given priority.
+func classOf(priority int) balancer.Class {
+	class := balancer.Class(max(priority, 0)) + balancer.ClassShort
+	return min(class, balancer.ClassLong)
+}
+
+// reclaimWork cancels work on an owned engine that nobody waits for.
+func (h *Host) reclaimWork(ctx context.Context, engine upstream.Engine, report *upstream.Report) {
+	var attempts []ident.Attempt
+	for _, list := range [][]upstream.Work{report.Running, report.Waiting, report.Held} {
+		for _, work := range list {
+			attempts = append(attempts, work.Attempt)
+		}
+	}
+	view := h.agreement.reclaimView()
+	for _, lost := range reclaim.Judge(time.Now(), reclaim.DefaultOptions(), view, attempts) {
+		call, cancel := context.WithTimeout(ctx, cancelTimeout)
+		err := engine.Cancel(call, lost.Attempt)
+		cancel()
+		h.log.Emit(event.UpstreamReclaimed).Str("upstream", string(report.Name)).
+			Str("attempt", lost.Attempt.String()).Stringer("reason", lost.Reason).Err(err).Msg("")
+	}
+}
--- /dev/null
+++ b/host/gang.go
@@ -0,0 +1,308 @@
+package host
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/citronscale/citronscale/balancer"
+	"github.com/citronscale/citronscale/code"
+	"github.com/citronscale/citronscale/gang"
+	"github.com/citronscale/citronscale/upstream"
+)
+
+const (
+	gangPoll        = 50 * time.Millisecond // between two looks for room for a prompt on several engines
+	gangCallTimeout = 5 * time.Second       // of one reservation or release
+	bytesPerToken   = upstream.BlockBytes / upstream.BlockTokens
+)
+
+// gangCandidates returns the engines of a model with what is free on each.
+func (p *placement) gangCandidates(request *balancer.Request) []gang.Candidate {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var candidates []gang.Candidate
+	for _, load := range p.set.Loads(request.Model) {
+		used := load.UsedTokens + load.QueuedTokens + load.UnseenTokens
+		candidates = append(candidates, gang.Candidate{
+			Name: load.Name, FailureDomain: load.FailureDomain, CapacityTokens: load.CapacityTokens,
+			FreeTokens: load.CapacityTokens - min(used, load.CapacityTokens),
+		})
+	}
+	return candidates
+}
+
+// needsGang reports whether no single engine can hold the request.
+func (p *placement) needsGang(request *balancer.Request) bool {
+	if request.Class != balancer.ClassLong {
+		return false
+	}
+	var largest uint64
+	for _, c := range p.gangCandidates(request) {
+		largest = max(largest, c.CapacityTokens)
+	}
+	return largest > 0 && request.Memory() > uint64(gangShare*float64(largest))
+}
+
+// gangShare is the part of an engine that one request may use alone.
+const gangShare = 0.9
+
+// placeGang plans the engines that hold the request together. It waits until
+// their free memory is enough.
+func (h *Host) placeGang(ctx context.Context, request *balancer.Request) (*placed, error) {
+	until := time.Now().Add(h.fleetPolicy().QueueTime)
+	if request.Deadline.Before(until) {
+		until = request.Deadline
+	}
+	for {
+		candidates := h.placement.gangCandidates(request)
+		plan, err := gang.Plan(request.PromptTokens, request.MaxTokens, candidates, h.settings.Host.FailureDomain)
+		if err == nil {
+			return h.placement.admitGang(plan), nil
+		}
+		if code.Of(err) != code.NoCapacity || !time.Now().Before(until) || ctx.Err() != nil {
+			return nil, err
+		}
+		pause(ctx, gangPoll)
+	}
+}
+
+// admitGang counts the parts of a plan as own work.
+func (p *placement) admitGang(plan *gang.Placement) *placed {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	for _, part := range plan.Parts {
+		p.set.Started(now, part.Member, uint64(part.Reserve))
+	}
+	release := sync.OnceFunc(func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		for _, part := range plan.Parts {
+			p.set.Finished(part.Member, uint64(part.Reserve))
+		}
+	})
+	return &placed{upstream: plan.Lead().Member, gang: plan, release: release}
+}
+
+// gangRun drives the machine of one attempt on several engines. Its goroutine
+// goes on after the end of the request until every engine has released.
+type gangRun struct {
+	host    *Host
+	plan    *gang.Placement
+	machine *gang.Machine
+	request *upstream.GenerateRequest
+	events  chan gang.Event
+	stream  chan gangStream // holds one value
+	work    context.Context // ends when the attempt has its result
+	cancel  context.CancelFunc
+	timer   *time.Timer
+}
+
+type gangStream struct {
+	stream upstream.Stream
+	err    error
+}
+
+const gangEventBuffer = 64
+
+// generateGang reserves memory on all engines of the plan, computes the parts
+// and starts the answer at the lead.
+func (h *Host) generateGang(ctx context.Context, plan *gang.Placement, request *upstream.GenerateRequest) (upstream.Stream, error) {
+	work, cancel := context.WithDeadline(context.WithoutCancel(ctx), request.Attempt.Deadline)
+	run := &gangRun{
+		host: h, plan: plan, request: request,
+		machine: gang.New(gang.DefaultOptions(), request.Attempt, plan),
+		events:  make(chan gang.Event, gangEventBuffer),
+		stream:  make(chan gangStream, 1),
+		work:    work, cancel: cancel,
+		timer: time.NewTimer(time.Until(request.Attempt.Deadline)),
+	}
+	go run.loop()
+	select {
+	case result := <-run.stream:
+		return result.stream, result.err
+	case <-ctx.Done():
+		run.tell(gang.Event{Kind: gang.Cancelled})
+		return nil, &upstream.Error{Upstream: plan.Lead().Member, Sent: upstream.SentSome, Err: ctx.Err()}
+	}
+}
+
+// tell hands an event to the loop. The loop ends only after it has seen all
+// events that can come, or at the end of the time for releases.
+func (r *gangRun) tell(event gang.Event) {
+	select {
+	case r.events <- event:
+	default: // the loop has ended or is far behind; its timers go on without the event
+	}
+}
+
+func (r *gangRun) loop() {
+	defer r.cancel()
+	defer r.timer.Stop()
+	actions := r.machine.Handle(time.Now(), gang.Event{Kind: gang.Started})
+	for r.apply(actions) {
+		select {
+		case event := <-r.events:
+			actions = r.machine.Handle(time.Now(), event)
+		case <-r.timer.C:
+			actions = r.machine.Handle(time.Now(), gang.Event{Kind: gang.TimerFired})
+		}
+	}
+}
+
+// apply carries actions out and reports whether the machine goes on.
+func (r *gangRun) apply(actions []gang.Action) bool {
+	for _, action := range actions {
+		switch action.Kind {
+		case gang.Reserve:
+			go r.reserve(action.Part)
+		case gang.Prefill:
+			go r.prefill(action.Part)
+		case gang.Generate:
+			go r.generate(action.Part)
+		case gang.Release:
+			go r.release(action.Part)
+		case gang.SetTimer:
+			r.timer.Reset(time.Until(action.At))
+		case gang.Finish:
+			r.finish(action.Code)
+		case gang.End:
+			return false
+		}
+	}
+	return true
+}
+
+// finish hands an error over if the attempt ended before its stream began.
+func (r *gangRun) finish(result code.Code) {
+	r.cancel()
+	if result == code.OK {
+		return
+	}
+	sent := upstream.SentSome
+	if result.Outcome() == code.NotRun {
+		sent = upstream.SentNothing
+	}
+	err := &upstream.Error{Upstream: r.plan.Lead().Member, Sent: sent, Err: code.New(result, "the attempt on %d engines failed", len(r.plan.Parts))}
+	select {
+	case r.stream <- gangStream{err: err}:
+	default: // the stream was handed over; its reader sees the failure there
+	}
+}
+
+func (r *gangRun) engine(name upstream.Name) (upstream.Engine, error) {
+	engine, ok := r.host.directory.Engine(name)
+	if !ok {
+		return nil, &upstream.Error{Upstream: name, Sent: upstream.SentNothing, Err: errNotListed}
+	}
+	return engine, nil
+}
+
+func (r *gangRun) reserve(part gang.Part) {
+	engine, err := r.engine(part.Member)
+	if err == nil {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(r.work), gangCallTimeout)
+		defer cancel()
+		err = engine.Reserve(ctx, &upstream.ReserveRequest{Attempt: r.request.Attempt, Tokens: part.Reserve, Expiry: r.request.Attempt.Deadline})
+	}
+	if err != nil {
+		r.tell(gang.Event{Kind: gang.ReserveFailed, Member: part.Member, Refused: asUpstreamError(part.Member, err).Refused})
+		return
+	}
+	r.tell(gang.Event{Kind: gang.Reserved, Member: part.Member})
+}
+
+func (r *gangRun) prefill(part gang.Part) {
+	engine, err := r.engine(part.Member)
+	if err == nil {
+		_, err = engine.Prefill(r.work, &upstream.PrefillRequest{
+			Attempt: r.request.Attempt, Model: r.request.Model, Part: part.Index, Prompt: r.text(part), Priority: r.request.Priority,
+		})
+	}
+	if err != nil {
+		r.tell(gang.Event{Kind: gang.PrefillFailed, Member: part.Member, Refused: asUpstreamError(part.Member, err).Refused})
+		return
+	}
+	r.tell(gang.Event{Kind: gang.Prefilled, Member: part.Member})
+}
+
+// text returns the text of a part of the prompt.
+func (r *gangRun) text(part gang.Part) string {
+	from := min(int(part.Offset)*bytesPerToken, len(r.request.Prompt))
+	to := min(from+int(part.Tokens)*bytesPerToken, len(r.request.Prompt))
+	return r.request.Prompt[from:to]
+}
+
+func (r *gangRun) generate(lead gang.Part) {
+	request := *r.request
+	request.Prompt = r.text(lead)
+	for _, part := range r.plan.Parts {
+		if part.Member == lead.Member {
+			continue
+		}
+		status, ok := r.host.directory.Status(part.Member)
+		if ok {
+			request.Members = append(request.Members, upstream.Member{Name: part.Member, Address: status.Info.Address})
+		}
+	}
+	engine, err := r.engine(lead.Member)
+	var stream upstream.Stream
+	if err == nil {
+		stream, err = engine.Generate(r.work, &request)
+	}
+	if err != nil {
+		r.tell(gang.Event{Kind: gang.GenerateFailed, Code: code.UpstreamLost})
+		return
+	}
+	select {
+	case r.stream <- gangStream{stream: &gangAnswer{Stream: stream, run: r}}:
+	default: // the attempt failed meanwhile
+		_ = stream.Close()
+	}
+}
+
+func (r *gangRun) release(part gang.Part) {
+	engine, err := r.engine(part.Member)
+	if err == nil {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(r.work), gangCallTimeout)
+		defer cancel()
+		err = engine.Release(ctx, r.request.Attempt)
+	}
+	kind := gang.Released
+	if err != nil {
+		kind = gang.ReleaseFailed
+	}
+	r.tell(gang.Event{Kind: kind, Member: part.Member})
+}
+
+// gangAnswer is the stream of the lead. Its end releases all engines.
+type gangAnswer struct {
+	upstream.Stream
+	run  *gangRun
+	over sync.Once
+}
+
+// Next implements upstream.Stream.
+func (a *gangAnswer) Next() (upstream.Frame, error) {
+	frame, err := a.Stream.Next()
+	switch {
+	case err == nil && frame.Done, errors.Is(err, io.EOF):
+		a.end(gang.Event{Kind: gang.Generated})
+	case err != nil:
+		a.end(gang.Event{Kind: gang.GenerateFailed, Code: code.AnswerIncomplete})
+	}
+	return frame, err
+}
+
+// Close implements upstream.Stream.
+func (a *gangAnswer) Close() error {
+	a.end(gang.Event{Kind: gang.Cancelled})
+	return a.Stream.Close()
+}
+
+func (a *gangAnswer) end(event gang.Event) {
+	a.over.Do(func() { a.run.tell(event) })
+}
--- a/host/host.go
+++ b/host/host.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -14,6 +15,7 @@
 	"github.com/citronscale/citronscale/gateway"
 	"github.com/citronscale/citronscale/ident"
 	"github.com/citronscale/citronscale/internal/buffer"
+	"github.com/citronscale/citronscale/lease"
 	"github.com/citronscale/citronscale/metrics"
 	"github.com/citronscale/citronscale/settings"
 )
@@ -31,6 +33,9 @@
 	agreement   *agreement
 	directory   *directory.Directory
 	platform    *platformReader
+	placement   *placement
+	peers       *peerClients
+	strikes     *strikes
 	records     *records
 	issuer      *issuer
 	listeners   []*listener
@@ -54,7 +59,10 @@
 		metrics:     instruments,
 		pool:        buffer.NewPool(s.Limits.BufferBytes),
 		lifecycle:   newLifecycle(log),
-		agreement:   newAgreement(log),
+		agreement:   newAgreement(s.Host.Name),
+		placement:   newPlacement(lease.Holder{Host: s.Host.Name, Incarnation: incarnation}, s.Host.FailureDomain, time.Now()),
+		peers:       &peerClients{},
+		strikes:     newStrikes(),
 		directory:   directory.New(newClients()),
 		platform:    newPlatformReader(s.Platform),
 		records:     newRecords(s.Host.Name, incarnation, s.Record.Capacity),
@@ -99,6 +107,10 @@
 	return []func(context.Context){
 		h.watchConfig,
 		h.pollHostList,
+		h.tendOwners,
+		h.tendEngines,
+		h.sampleEngines,
+		h.renewLeases,
 	}
 }
 
@@ -108,16 +120,17 @@
 		ReadTimeout:  h.settings.Limits.ReadTimeout.Std(),
 		WriteTimeout: h.settings.Limits.WriteTimeout.Std(),
 	}
-	callers := gateway.New(h, limits, h.pool, h.log)
-	handlers := []struct {
+	addresses := h.settings.Listen
+	faces := []struct {
 		name    string
+		address netip.AddrPort
 		handler http.Handler
 	}{
-		{"callers", callers},
+		{"callers", addresses.Callers, gateway.New(h, limits, h.pool, h.log)},
+		{"operators", addresses.Operators, h.operatorHandler()},
 	}
-	addresses := h.settings.Listen
-	for _, x := range handlers {
-		l, err := h.openListener(x.name, addresses.Callers, x.handler, nil)
+	for _, face := range faces {
+		l, err := h.openListener(face.name, face.address, face.handler, nil)
 		if err != nil {
 			return err
 		}
--- a/host/placement.go
+++ b/host/placement.go
@@ -3,111 +3,224 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
-	"github.com/citronscale/citronscale/attempt"
 	"github.com/citronscale/citronscale/balancer"
 	"github.com/citronscale/citronscale/code"
-	"github.com/citronscale/citronscale/config"
-	"github.com/citronscale/citronscale/gateway"
+	"github.com/citronscale/citronscale/directory"
+	"github.com/citronscale/citronscale/gang"
 	"github.com/citronscale/citronscale/ident"
+	"github.com/citronscale/citronscale/lease"
+	"github.com/citronscale/citronscale/limit"
 	"github.com/citronscale/citronscale/retry"
-	"github.com/citronscale/citronscale/strike"
 	"github.com/citronscale/citronscale/upstream"
 )
 
-const cancelTimeout = 2 * time.Second
+// placement holds what decides where a completion goes. All fields below the
+// mutex belong to it.
+type placement struct {
+	self     lease.Holder
+	domain   string
+	wakeups  chan struct{} // holds one signal: capacity may have become free
+	mu       sync.Mutex
+	rng      *rand.Rand
+	set      *balancer.Set
+	book     *lease.Book
+	owners   map[upstream.Name]*lease.Owner
+	asking   map[lease.Line]chan struct{} // closed when the request of the line is answered
+	limiter  *limit.Limiter
+	budget   *retry.Budget
+	policy   retry.Policy
+	queues   map[string]*modelQueue
+	estimate runEstimate
+}
 
-// placed is an engine that a completion may be sent to.
+func newPlacement(self lease.Holder, domain string, now time.Time) *placement {
+	seed := uint64(self.Incarnation)
+	return &placement{
+		self:    self,
+		domain:  domain,
+		wakeups: make(chan struct{}, 1),
+		rng:     rand.New(rand.NewPCG(seed, seed)),
+		set:     balancer.NewSet(domain, balancer.DefaultOptions()),
+		book:    lease.NewBook(lease.DefaultBookOptions(), self),
+		owners:  make(map[upstream.Name]*lease.Owner),
+		asking:  make(map[lease.Line]chan struct{}),
+		limiter: limit.NewLimiter(limit.DefaultOptions(), 1),
+		budget:  retry.NewBudget(retry.DefaultBudgetOptions(), now),
+		policy:  retry.DefaultPolicy(),
+		queues:  make(map[string]*modelQueue),
+	}
+}
+
+// placed is the right to send a completion to an engine.
 type placed struct {
 	upstream upstream.Name
-	release  func() // gives the capacity back; may be called more than once
+	gang     *gang.Placement // set if the prompt is spread over several engines
+	release  func()          // gives the right back; may be called more than once
 }
 
-// describe returns what placement needs to know about a completion.
-func (h *Host) describe(c *gateway.Completion) (*balancer.Request, config.ModelPolicy, error) {
-	cfg, ok := h.agreement.config()
-	if !ok {
-		return nil, config.ModelPolicy{}, code.New(code.HostNotReady, "no configuration in force")
+// candidates returns the engines to try, best first.
+func (p *placement) candidates(request *balancer.Request) []upstream.Name {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.set.Pick(time.Now(), request, p.rng)
+}
+
+// take admits the request to the first engine whose lease has room.
+func (p *placement) take(request *balancer.Request, names []upstream.Name) (*placed, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	for _, name := range names {
+		permit, ok := p.book.Take(now, lease.Line{Engine: name, Class: request.Class}, request.Memory())
+		if ok {
+			return p.admit(now, request, permit), true
+		}
 	}
-	model, ok := cfg.Models[c.Model]
-	if !ok {
-		return nil, config.ModelPolicy{}, code.New(code.ModelUnknown, "model %q is not in the configuration", c.Model)
+	return nil, false
+}
+
+// force admits the request to an engine whose owner can't be reached, if the
+// last known load leaves room. The engine's own admission is the limit.
+func (p *placement) force(request *balancer.Request, name upstream.Name) (*placed, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	load, ok := p.set.Load(name)
+	if !ok || load.Leaving || load.Failed {
+		return nil, false
 	}
-	tokens := upstream.CountTokens(c.Prompt)
-	if model.ContextTokens > 0 && tokens+c.MaxTokens > model.ContextTokens {
-		return nil, config.ModelPolicy{}, code.New(code.PromptTooLong, "prompt and answer have %d tokens, model %q holds %d", tokens+c.MaxTokens, c.Model, model.ContextTokens)
+	used := load.UsedTokens + load.QueuedTokens + load.UnseenTokens
+	if load.CapacityTokens > 0 && used+request.Memory() > load.CapacityTokens {
+		return nil, false
 	}
-	return &balancer.Request{
-		Model: c.Model, PromptTokens: tokens, MaxTokens: c.MaxTokens, Class: h.classify(tokens),
-		PrefixDigests: upstream.PrefixDigests(c.Prompt), Team: c.Team, Deadline: c.Deadline,
-	}, cfg.Model(c.Model), nil
+	permit := p.book.Force(lease.Line{Engine: name, Class: request.Class}, request.Memory())
+	return p.admit(time.Now(), request, permit), true
 }
 
-// placeCompletion returns an engine with room for the request.
-func (h *Host) placeCompletion(_ context.Context, request *balancer.Request, _ strike.Digest) (*placed, error) {
-	var names []upstream.Name
-	for _, s := range h.directory.Engines() {
-		if s.Info.Model == request.Model && s.Usable() {
-			names = append(names, s.Info.Name)
-		}
-	}
-	if len(names) == 0 {
-		return nil, code.New(code.UpstreamUnavailable, "model %q has no usable engine", request.Model)
+// admit counts work that was given a permit. The caller holds the lock.
+func (p *placement) admit(now time.Time, request *balancer.Request, permit lease.Permit) *placed {
+	name := permit.Line.Engine
+	p.set.Started(now, name, request.Memory())
+	release := sync.OnceFunc(func() {
+		p.mu.Lock()
+		p.set.Finished(name, permit.Tokens)
+		p.book.Return(permit)
+		p.mu.Unlock()
+		p.wake()
+	})
+	return &placed{upstream: name, release: release}
+}
+
+// wake tells the queues that capacity may have become free.
+func (p *placement) wake() {
+	select {
+	case p.wakeups <- struct{}{}:
+	default:
 	}
-	return &placed{upstream: names[rand.IntN(len(names))], release: func() {}}, nil
 }
 
-// generate sends an attempt to its engine.
-func (h *Host) generate(ctx context.Context, p *placed, c *gateway.Completion, a attempt.Send) (upstream.Stream, error) {
-	engine, ok := h.directory.Engine(p.upstream)
+// leased returns the tokens that this host lends on an engine it owns.
+func (p *placement) leased(name upstream.Name) uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	owner, ok := p.owners[name]
 	if !ok {
-		return nil, &upstream.Error{Upstream: p.upstream, Sent: upstream.SentNothing, Err: errNotListed}
+		return 0
 	}
-	tokens := upstream.CountTokens(c.Prompt)
-	return engine.Generate(ctx, &upstream.GenerateRequest{
-		Attempt: a.Attempt, Model: c.Model, Prompt: c.Prompt, PromptTokens: tokens, MaxTokens: c.MaxTokens,
-		Priority: h.classify(tokens).Priority(), ResumeOffset: a.ResumeOffset, ResumeText: a.ResumeText,
-	})
+	return owner.Charged()
 }
 
-// cancelAtEngine ends an attempt at its engine.
-func (h *Host) cancelAtEngine(name upstream.Name, a ident.Attempt) {
-	engine, ok := h.directory.Engine(name)
-	if !ok {
-		return
+// noteChanges takes new states of upstreams over.
+func (p *placement) noteChanges(changes []directory.Change, d *directory.Directory) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, change := range changes {
+		status, ok := d.Status(change.Name)
+		if !ok {
+			p.set.Remove(change.Name)
+			continue
+		}
+		if status.Info.Kind != upstream.KindEngine {
+			continue
+		}
+		p.set.Put(&status.Info)
+		p.set.SetLeaving(change.Name, status.State == stateLeaving)
+		p.set.SetFailed(change.Name, status.State == stateDown)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
-	defer cancel()
-	_ = engine.Cancel(ctx, a) // the owner of the engine reclaims what a lost cancel leaves
 }
 
-// retryGate is the retry policy of one request. It implements
-// attempt.RetryPolicy.
-type retryGate struct {
-	policy    retry.Policy
-	notBefore time.Time // of the next attempt
+// putEngines takes the engines of the directory over.
+func (p *placement) putEngines(engines []directory.Status) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i := range engines {
+		p.set.Put(&engines[i].Info)
+	}
 }
 
-func (h *Host) newRetryGate(_ *balancer.Request) *retryGate {
-	return &retryGate{policy: retry.DefaultPolicy()}
+// placeCompletion returns an engine with room for the request. It fails once
+// the queue time or the deadline has passed.
+func (h *Host) placeCompletion(ctx context.Context, request *balancer.Request) (*placed, error) {
+	if h.placement.needsGang(request) {
+		return h.placeGang(ctx, request)
+	}
+	if !h.placement.queued(request) {
+		if p, err := h.tryPlace(ctx, request); p != nil || err != nil {
+			return p, err
+		}
+	}
+	return h.waitForPlace(ctx, request)
 }
 
-// AllowRetry implements attempt.RetryPolicy.
-func (g *retryGate) AllowRetry(now time.Time, number int, _ bool, deadline time.Time) bool {
-	return number < g.policy.MaxAttempts && now.Before(deadline)
+// tryPlace looks for room once: in the leases held, then at the owners of the
+// candidates. It returns nil without error if there is no room now.
+func (h *Host) tryPlace(ctx context.Context, request *balancer.Request) (*placed, error) {
+	names := h.placement.candidates(request)
+	if len(names) == 0 {
+		return nil, code.New(code.UpstreamUnavailable, "model %q has no usable engine", request.Model)
+	}
+	if p, ok := h.placement.take(request, names); ok {
+		return p, nil
+	}
+	for _, name := range names {
+		reached := h.askOwner(ctx, lease.Line{Engine: name, Class: request.Class}, request.Memory())
+		if p, ok := h.placement.take(request, names); ok {
+			return p, nil
+		}
+		if reached {
+			continue
+		}
+		if p, ok := h.placement.force(request, name); ok {
+			return p, nil
+		}
+	}
+	return nil, nil
 }
 
-// firstFrameTimeout returns how long an engine may take to the first frame: the
-// progress timeout and the time to compute the prompt.
-func firstFrameTimeout(request *balancer.Request, progress time.Duration) time.Duration {
-	const slowestPrefill = 2_000 // tokens per second
-	return progress + time.Duration(request.PromptTokens)*time.Second/slowestPrefill
+// holderOf returns the holder that an attempt names.
+func holderOf(a ident.Attempt) lease.Holder {
+	return lease.Holder{Host: a.Request.Host, Incarnation: a.Request.Incarnation}
 }
 
-// noteFailure tells the parts of the host that an attempt failed.
-func (h *Host) noteFailure(_ *completionRun, failure *upstream.Error) {
-	if failure.Refused == upstream.RefusedLeaving {
-		h.noteUpstreams(h.directory.RefusedLeaving(time.Now(), failure.Upstream))
+// isolate makes a request ask for a whole engine, so that nothing else runs
+// beside it. It counts as short, because only the short class may use all.
+func (p *placement) isolate(request *balancer.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var smallest uint64
+	for _, load := range p.set.Loads(request.Model) {
+		if smallest == 0 || load.CapacityTokens < smallest {
+			smallest = load.CapacityTokens
+		}
 	}
+	whole := uint64(isolationShare * float64(smallest))
+	if whole > request.Memory() {
+		request.MaxTokens = uint32(whole) - request.PromptTokens
+	}
+	request.Class = balancer.ClassShort
 }
+
+// isolationShare is the part of an engine that isolated content asks for.
+const isolationShare = 0.9
--- a/internal/buffer/buffer_test.go
+++ b/internal/buffer/buffer_test.go
@@ -23,9 +23,11 @@
 	other := pool.Reserve()
 	_, err = other.ReadAll(bytes.NewReader(make([]byte, 400<<10)), 300<<10)
 	assert.Equal(t, code.Of(err), code.BodyTooLarge)
-	_, err = pool.Reserve().ReadAll(bytes.NewReader(make([]byte, 2<<20)), 4<<20)
+	other.Release()
+	_, err = other.ReadAll(bytes.NewReader(make([]byte, 2<<20)), 4<<20)
 	assert.Equal(t, code.Of(err), code.BufferFull)
-	_, err = pool.Reserve().ReadAll(iotest.ErrReader(io.ErrUnexpectedEOF), 10)
+	other.Release()
+	_, err = other.ReadAll(iotest.ErrReader(io.ErrUnexpectedEOF), 10)
 	assert.Equal(t, code.Of(err), code.BodyIncomplete)
 }
 
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -74,11 +74,20 @@
   done
 }
 
+host_ready() { # OPERATOR_PORT
+  local status=""
+  exec 3<>"/dev/tcp/127.0.0.1/$1" || return 1
+  printf 'GET /readyz HTTP/1.0\r\n\r\n' >&3
+  read -r status <&3 || true
+  exec 3>&-
+  [[ $status == *" 200 "* ]]
+} 2>/dev/null
+
 wait_ready() {
   local i tries
   for i in $(seq "$FLEET_HOSTS"); do
     tries=0
-    until curl -fsS -o /dev/null "http://127.0.0.1:$((8280 + i))/readyz" 2>/dev/null; do
+    until host_ready $((8280 + i)); do
       tries=$((tries + 1))
       if [ "$tries" -gt 600 ]; then
         echo "host-$i did not become ready; last lines of its log:" >&2
