Membership, leases and forwarding between hosts wired into the daemon

Hosts exchange heartbeats, lease tokens from the owner of an engine and forward keyed calls to the host that issued the key.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -28,7 +28,9 @@
 	State    chart.State
 	Report   *upstream.Report // nil until one was read; not to be changed
 	ReportAt time.Time        // when the report was asked for, on the own clock
-	InFlight int              // own calls in flight
+
+	Incarnation uint64 // newest known of an engine; zero if unknown
+	InFlight    int    // own calls in flight
 }
 
 // Usable reports whether the upstream may get new work.
@@ -52,6 +54,7 @@
 	refusedAt   time.Time // newest refusal that said leaving
 	inFlight    int
 	reportLeave bool
+	incarnation uint64
 }
 
 // Directory holds the upstreams by name.
@@ -174,6 +177,7 @@
 	}
 	e.report = report
 	e.reportAt = asked
+	e.incarnation = max(e.incarnation, report.Incarnation)
 	e.lostSince = time.Time{}
 	e.reportLeave = report.Leaving
 	changes = append(changes, fire(e, chart.UpstreamReport)...)
@@ -211,6 +215,15 @@
 	return d.settleLeaving(now, e)
 }
 
+// NoteIncarnation takes in the incarnation of an engine that its owner states.
+func (d *Directory) NoteIncarnation(name upstream.Name, incarnation uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if e, ok := d.entries[name]; ok {
+		e.incarnation = max(e.incarnation, incarnation)
+	}
+}
+
 // Heard notes that an upstream answered a call, which ends a suspicion.
 func (d *Directory) Heard(name upstream.Name) []Change {
 	d.mu.Lock()
@@ -289,7 +302,7 @@
 }
 
 func (e *entry) status() Status {
-	return Status{Info: e.info, State: e.machine.State(), Report: e.report, ReportAt: e.reportAt, InFlight: e.inFlight}
+	return Status{Info: e.info, State: e.machine.State(), Report: e.report, ReportAt: e.reportAt, Incarnation: e.incarnation, InFlight: e.inFlight}
 }
 
 // Begin counts an own call in flight. The returned function ends it.
--- a/gateway/completion.go
+++ b/gateway/completion.go
@@ -144,6 +144,7 @@
 		c.MaxTokens = defaultMaxTokens
 	}
 	out.writeTimeout = g.limits.WriteTimeout
+	out.deadline = deadline
 	result, err := g.backend.Complete(x.r.Context(), c, out)
 	x.outcome.FirstToken = out.firstToken
 	x.outcome.CompletionTokens = out.tokens
--- a/gateway/render.go
+++ b/gateway/render.go
@@ -14,6 +14,7 @@
 	finishStop    = "stop"
 	streamDone    = "[DONE]"
 	contentStream = "text/event-stream"
+	writeGrace    = 500 * time.Millisecond // for the last writes after the deadline
 )
 
 // renderer writes one completion as the OpenAI protocol wants it, streamed or
@@ -27,6 +28,7 @@
 	stream       bool
 	created      int64
 	writeTimeout time.Duration
+	deadline     time.Time       // of the request; writes end shortly after it
 	whole        strings.Builder // answer so far, unless streamed
 	frame        bytes.Buffer
 	tokens       uint32
@@ -130,7 +132,11 @@
 // slowly, so that it can't pin memory.
 func (r *renderer) flushFrame() error {
 	control := http.NewResponseController(r.x.w)
-	_ = control.SetWriteDeadline(time.Now().Add(r.writeTimeout))
+	until := time.Now().Add(r.writeTimeout)
+	if end := r.deadline.Add(writeGrace); end.Before(until) {
+		until = end
+	}
+	_ = control.SetWriteDeadline(until)
 	if _, err := r.x.w.Write(r.frame.Bytes()); err != nil {
 		return code.Wrap(err, code.CallerGone)
 	}
--- a/host/agreement.go
+++ b/host/agreement.go
@@ -2,12 +2,16 @@
 
 import (
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"time"
 
+	peerv1 "github.com/citronscale/citronscale/api/peer/v1"
 	"github.com/citronscale/citronscale/config"
 	"github.com/citronscale/citronscale/event"
 	"github.com/citronscale/citronscale/ident"
+	"github.com/citronscale/citronscale/membership"
+	"github.com/citronscale/citronscale/ownership"
 	"github.com/citronscale/citronscale/platform"
 	"github.com/citronscale/citronscale/reclaim"
 	"github.com/citronscale/citronscale/upstream"
@@ -20,12 +24,24 @@
 	mu      sync.Mutex
 	inForce *config.Config
 	since   time.Time // when the configuration came into force here
+	table   *membership.Table
+	owners  *ownership.Map // over the ready hosts
+	failed  map[ident.Host]time.Time
 }
 
-func newAgreement(self ident.Host) *agreement {
-	return &agreement{self: self}
+func newAgreement(self membership.Self, now time.Time) *agreement {
+	seed := uint64(self.Incarnation)
+	options := membership.DefaultOptions(defaultHeartbeat, defaultSuspectTime)
+	return &agreement{
+		self:   self.Host,
+		table:  membership.New(options, self, now, rand.New(rand.NewPCG(seed, seed))),
+		owners: ownership.New(nil),
+		failed: make(map[ident.Host]time.Time),
+	}
 }
 
+const defaultSuspectTime = 3 * time.Second // before a configuration is in force
+
 // config returns the configuration in force.
 func (a *agreement) config() (*config.Config, bool) {
 	a.mu.Lock()
@@ -52,14 +68,134 @@
 	return now.Sub(a.since)
 }
 
-// owner returns the host that owns an engine.
-func (a *agreement) owner(upstream.Name) ident.Host {
-	return a.self
+// owner returns the host that owns an engine. It is empty while this host can't
+// tell, after its start or a pause.
+func (a *agreement) owner(name upstream.Name) ident.Host {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.owners.Owner(name)
+}
+
+// member returns one host.
+func (a *agreement) member(host ident.Host) (membership.Member, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.table.Member(host)
+}
+
+// members returns all hosts, this one included.
+func (a *agreement) members() []membership.Member {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.table.Members()
+}
+
+// tick advances the membership and returns the heartbeats to send.
+func (a *agreement) tick(now time.Time) []membership.Probe {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	probes := a.table.Tick(now)
+	a.settleOwners()
+	return probes
+}
+
+// settleOwners recomputes who owns which engine. A host that can't trust its
+// view owns nothing and asks nobody.
+func (a *agreement) settleOwners() {
+	if !a.table.Settled(time.Now()) {
+		a.owners = ownership.New(nil)
+		return
+	}
+	a.owners = ownership.New(a.table.ReadyHosts())
+}
+
+// refresh updates what the own record says.
+func (a *agreement) refresh(now time.Time, state membership.State, usage []*peerv1.TeamUsage) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.table.SetState(now, state)
+	a.table.SetUsage(usage)
+	if a.inForce != nil {
+		a.table.SetConfig(a.inForce.Revision, a.inForce.Digest)
+	}
+}
+
+func (a *agreement) receive(now time.Time, m *peerv1.HeartbeatRequest) *peerv1.HeartbeatResponse {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.table.Receive(now, m)
+}
+
+func (a *agreement) response(now time.Time, host ident.Host, m *peerv1.HeartbeatResponse) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.table.Response(now, host, m)
+}
+
+func (a *agreement) probeFailed(now time.Time, host ident.Host) []membership.Probe {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.table.Failed(now, host)
+}
+
+func (a *agreement) probeOf(now time.Time, host ident.Host) (membership.Probe, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.table.Probe(now, host)
+}
+
+func (a *agreement) resumed(now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.table.Resumed(now)
+	a.owners = ownership.New(nil)
+}
+
+// changes returns the changes of the membership since the last call and notes
+// since when hosts count as failed.
+func (a *agreement) changes(now time.Time) []membership.Change {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	changes := a.table.Changes()
+	for _, change := range changes {
+		if change.To == membership.Failed {
+			a.failed[change.Host] = now
+			continue
+		}
+		delete(a.failed, change.Host)
+	}
+	return changes
+}
+
+// useHostList seeds the membership with the entry hosts of a host list.
+func (a *agreement) useHostList(now time.Time, list []platform.Entry) {
+	var seeds []membership.Seed
+	for _, entry := range list {
+		if entry.Role != platform.RoleHost {
+			continue
+		}
+		seeds = append(seeds, membership.Seed{
+			Host: ident.Host(entry.Name), PeerAddress: entry.PeerAddress,
+			FailureDomain: entry.FailureDomain, Leaving: entry.Leaving,
+		})
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.table.HostList(now, seeds)
 }
 
 // reclaimView returns the membership as the reclaim package needs it.
 func (a *agreement) reclaimView() reclaim.View {
-	return reclaim.NewView(nil)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var hosts []reclaim.Host
+	for _, m := range a.table.Members() {
+		hosts = append(hosts, reclaim.Host{
+			Name: m.Host, Incarnation: m.Incarnation,
+			Failed: m.State == membership.Failed, FailedSince: a.failed[m.Host],
+		})
+	}
+	return reclaim.NewView(hosts)
 }
 
 // offerConfig judges a document from the service or a peer.
@@ -77,3 +213,9 @@
 	h.log.Emit(event.ConfigAccepted).Uint64("revision", cfg.Revision).Msg("")
 	h.lifecycle.configured()
 }
+
+func (a *agreement) fetchResponse(*peerv1.FetchConfigRequest) (*peerv1.FetchConfigResponse, bool) {
+	return nil, false
+}
+
+func (h *Host) notePeerConfig(*peerv1.HostRecord) {}
--- a/host/attempts.go
+++ b/host/attempts.go
@@ -26,7 +26,7 @@
 	tokens := upstream.CountTokens(c.Prompt)
 	request := &upstream.GenerateRequest{
 		Attempt: a.Attempt, Model: c.Model, Prompt: c.Prompt, PromptTokens: tokens, MaxTokens: c.MaxTokens,
-		Priority: h.classify(tokens).Priority(), ResumeOffset: a.ResumeOffset, ResumeText: a.ResumeText,
+		Priority: h.priority(tokens), ResumeOffset: a.ResumeOffset, ResumeText: a.ResumeText,
 	}
 	if p.gang != nil {
 		return h.generateGang(ctx, p.gang, request)
@@ -38,6 +38,14 @@
 	return engine.Generate(ctx, request)
 }
 
+// priority returns the priority of a prompt at the engines.
+func (h *Host) priority(promptTokens uint32) int {
+	if !h.settings.Placement.Priorities {
+		return 0
+	}
+	return h.classify(promptTokens).Priority()
+}
+
 // cancelAtEngine ends an attempt at its engine. The owner of the engine
 // reclaims what a lost cancel leaves.
 func (h *Host) cancelAtEngine(name upstream.Name, a ident.Attempt) {
@@ -79,10 +87,7 @@
 	if !ok || !found {
 		return
 	}
-	var before uint64
-	if status.Report != nil {
-		before = status.Report.Incarnation
-	}
+	before := status.Incarnation
 	ctx, cancel := context.WithTimeout(r.work, crashProbe)
 	defer cancel()
 	asked := time.Now()
--- a/host/host.go
+++ b/host/host.go
@@ -16,6 +16,7 @@
 	"github.com/citronscale/citronscale/ident"
 	"github.com/citronscale/citronscale/internal/buffer"
 	"github.com/citronscale/citronscale/lease"
+	"github.com/citronscale/citronscale/membership"
 	"github.com/citronscale/citronscale/metrics"
 	"github.com/citronscale/citronscale/settings"
 )
@@ -51,6 +52,14 @@
 		return nil, err
 	}
 	incarnation := ident.Incarnation(time.Now().UnixNano())
+	placement, err := newPlacement(lease.Holder{Host: s.Host.Name, Incarnation: incarnation}, s, time.Now())
+	if err != nil {
+		return nil, err
+	}
+	self := membership.Self{
+		Host: s.Host.Name, Incarnation: incarnation,
+		PeerAddress: s.Listen.Peers.String(), FailureDomain: s.Host.FailureDomain,
+	}
 	h := &Host{
 		settings:    s,
 		self:        s.Host.Name,
@@ -59,9 +68,9 @@
 		metrics:     instruments,
 		pool:        buffer.NewPool(s.Limits.BufferBytes),
 		lifecycle:   newLifecycle(log),
-		agreement:   newAgreement(s.Host.Name),
-		placement:   newPlacement(lease.Holder{Host: s.Host.Name, Incarnation: incarnation}, s.Host.FailureDomain, time.Now()),
-		peers:       &peerClients{},
+		agreement:   newAgreement(self, time.Now()),
+		placement:   placement,
+		peers:       newPeerClients(nil, instruments),
 		strikes:     newStrikes(),
 		directory:   directory.New(newClients()),
 		platform:    newPlatformReader(s.Platform),
@@ -111,6 +120,7 @@
 		h.tendEngines,
 		h.sampleEngines,
 		h.renewLeases,
+		h.beat,
 	}
 }
 
@@ -126,8 +136,9 @@
 		address netip.AddrPort
 		handler http.Handler
 	}{
-		{"callers", addresses.Callers, gateway.New(h, limits, h.pool, h.log)},
-		{"operators", addresses.Operators, h.operatorHandler()},
+		{faceCallers, addresses.Callers, gateway.New(h, limits, h.pool, h.log)},
+		{facePeers, addresses.Peers, h.peerHandler()},
+		{faceOperators, addresses.Operators, h.operatorHandler()},
 	}
 	for _, face := range faces {
 		l, err := h.openListener(face.name, face.address, face.handler, nil)
@@ -190,4 +201,5 @@
 		_ = l.server.Close()
 	}
 	h.platform.close()
+	h.peers.close()
 }
--- a/host/keyed.go
+++ b/host/keyed.go
@@ -22,19 +22,19 @@
 	maxOutcomeBytes  = 32 << 20
 	maxOutcomeAnswer = 1 << 20
 	keyLifetime      = time.Hour
-	attachPoll       = 10 * time.Millisecond // between two looks at a running copy
 )
 
 // issuer guards the idempotency keys of this incarnation.
 type issuer struct {
-	mu   sync.Mutex
-	keys *keyed.Issuer
+	mu      sync.Mutex
+	keys    *keyed.Issuer
+	running map[string]chan struct{} // by key; closed when the copy that runs has finished
 }
 
 func newIssuer(host ident.Host, incarnation ident.Incarnation, lifetime time.Duration) *issuer {
 	var secret keyed.Secret
 	_, _ = rand.Read(secret[:]) // never fails
-	return &issuer{keys: keyed.New(keyed.Options{
+	return &issuer{running: make(map[string]chan struct{}), keys: keyed.New(keyed.Options{
 		Host: host, Incarnation: incarnation, Secret: secret, Lifetime: lifetime,
 		MaxKeys: maxUsedKeys, MaxTeamKeys: maxUsedTeamKeys,
 		MaxOutcomeBytes: maxOutcomeBytes, MaxAnswerBytes: maxOutcomeAnswer,
@@ -53,10 +53,21 @@
 	return i.keys.Route(key)
 }
 
-func (i *issuer) begin(now time.Time, call keyed.Call) keyed.Decision {
+// begin decides about a copy of a call; again says that it was attached to one
+// that has finished. With keyed.Attach it returns a channel that is closed when
+// the copy that runs has finished.
+func (i *issuer) begin(now time.Time, call keyed.Call, again bool) (keyed.Decision, <-chan struct{}) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	return i.keys.Begin(now, call)
+	decide := i.keys.Begin
+	if again {
+		decide = i.keys.BeginAgain
+	}
+	decision := decide(now, call)
+	if decision.Kind == keyed.Run {
+		i.running[call.Key] = make(chan struct{})
+	}
+	return decision, i.running[call.Key]
 }
 
 func (i *issuer) sending(now time.Time, ticket keyed.Ticket) error {
@@ -65,10 +76,13 @@
 	return i.keys.Sending(now, ticket)
 }
 
-func (i *issuer) finish(now time.Time, ticket keyed.Ticket, outcome keyed.Outcome) error {
+func (i *issuer) finish(now time.Time, key string, ticket keyed.Ticket, outcome keyed.Outcome) error {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	return i.keys.Finish(now, ticket, outcome)
+	err := i.keys.Finish(now, ticket, outcome)
+	close(i.running[key])
+	delete(i.running, key)
+	return err
 }
 
 // IssueKeys implements gateway.Backend.
@@ -136,8 +150,8 @@
 		Request: call.Request, Team: call.Team, Key: call.Key, Deadline: call.Deadline,
 		Digest: keyed.DigestOf(call.Service, call.Method, call.Path, call.Body),
 	}
-	for {
-		decision := h.issuer.begin(time.Now(), copyOfCall)
+	for again := false; ; again = true {
+		decision, finished := h.issuer.begin(time.Now(), copyOfCall, again)
 		switch decision.Kind {
 		case keyed.Run:
 			return h.runTicket(call, decision.Ticket)
@@ -145,7 +159,7 @@
 			h.records.add(record.Entry{Request: call.Request, Kind: record.Replayed, Team: call.Team, Detail: "ran as " + decision.Outcome.RanAs.String()})
 			return replayed(decision.Outcome)
 		case keyed.Attach:
-			if err := waitAttached(ctx, call.Deadline); err != nil {
+			if err := waitAttached(ctx, call.Deadline, finished); err != nil {
 				return nil, err
 			}
 		default:
@@ -154,16 +168,18 @@
 	}
 }
 
-// waitAttached waits a moment for the copy that runs.
-func waitAttached(ctx context.Context, deadline time.Time) error {
-	if !time.Now().Add(attachPoll).Before(deadline) {
+// waitAttached waits for the end of the copy that runs.
+func waitAttached(ctx context.Context, deadline time.Time, finished <-chan struct{}) error {
+	timer := time.NewTimer(time.Until(deadline))
+	defer timer.Stop()
+	select {
+	case <-finished:
+		return nil
+	case <-timer.C:
 		return code.New(code.DeadlineExceeded, "the deadline passed while another copy of the call ran")
-	}
-	pause(ctx, attachPoll)
-	if ctx.Err() != nil {
+	case <-ctx.Done():
 		return code.New(code.CallerGone, "the caller closed the connection while another copy of the call ran")
 	}
-	return nil
 }
 
 // runTicket sends a call that holds the right to be sent. The call goes on if
@@ -177,7 +193,7 @@
 		outcome.Body = answer.Body
 		answer.RanAs = call.Request.String()
 	}
-	if finishErr := h.issuer.finish(time.Now(), ticket, outcome); finishErr != nil {
+	if finishErr := h.issuer.finish(time.Now(), call.Key, ticket, outcome); finishErr != nil {
 		return nil, code.Wrap(finishErr, code.InternalFault)
 	}
 	return answer, err
--- a/host/leases.go
+++ b/host/leases.go
@@ -44,6 +44,9 @@
 	response, err := h.callOwner(ctx, line.Engine, request)
 	p.takeResponse(line, request.GetSequence(), response, err)
 	close(done)
+	if err == nil {
+		h.directory.NoteIncarnation(line.Engine, response.GetEngineIncarnation())
+	}
 	if err == nil && response.GetLeaving() {
 		h.noteUpstreams(h.directory.RefusedLeaving(time.Now(), line.Engine))
 	}
@@ -71,7 +74,7 @@
 	if owner == h.self {
 		return h.handleLease(ctx, request), nil
 	}
-	client, err := h.peers.client(owner)
+	client, err := h.peer(owner)
 	if err != nil {
 		return nil, err
 	}
@@ -91,6 +94,7 @@
 	until := time.Now().Add(wait)
 	for {
 		response := h.placement.handleLease(request)
+		h.stateEngine(upstream.Name(request.GetUpstream()), response)
 		satisfied := response.GetGrantedTokens() > 0 || request.GetNeedTokens() == 0
 		if satisfied || response.GetNotOwner() || response.GetLeaving() || !time.Now().Before(until) || ctx.Err() != nil {
 			return response
@@ -99,10 +103,21 @@
 	}
 }
 
+// stateEngine adds to an answer what the last report says about the engine.
+func (h *Host) stateEngine(name upstream.Name, response *peerv1.LeaseResponse) {
+	status, ok := h.directory.Status(name)
+	if !ok || status.Report == nil {
+		return
+	}
+	response.EngineIncarnation = status.Incarnation
+	response.CapacityTokens = status.Report.CapacityTokens
+}
+
 func (p *placement) handleLease(request *peerv1.LeaseRequest) *peerv1.LeaseResponse {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	owner, ok := p.owners[upstream.Name(request.GetUpstream())]
+	name := upstream.Name(request.GetUpstream())
+	owner, ok := p.owners[name]
 	if !ok {
 		return &peerv1.LeaseResponse{NotOwner: true}
 	}
--- a/host/lifecycle.go
+++ b/host/lifecycle.go
@@ -92,6 +92,21 @@
 	return nil
 }
 
+// beginForwarded counts a forwarded call in flight. A leaving host takes them
+// until it stops, because only it may run calls under its keys.
+func (l *lifecycle) beginForwarded(limit int) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.machine.State() == chart.ProcessStopped {
+		return code.New(code.HostLeaving, "host has stopped")
+	}
+	if l.requests >= limit {
+		return code.New(code.NoCapacity, "host has %d requests in flight, limit is %d", l.requests, limit)
+	}
+	l.requests++
+	return nil
+}
+
 // end counts a request out.
 func (l *lifecycle) end() {
 	l.mu.Lock()
--- a/host/listeners.go
+++ b/host/listeners.go
@@ -10,6 +10,14 @@
 	"net/netip"
 
 	"github.com/citronscale/citronscale/code"
+	"github.com/citronscale/citronscale/internal/countconn"
+)
+
+// Faces of a host.
+const (
+	faceCallers   = "callers"
+	facePeers     = "peers"
+	faceOperators = "operators"
 )
 
 // listener is one open listener and the server behind it.
@@ -25,8 +33,8 @@
 	if err != nil {
 		return nil, code.Wrap(fmt.Errorf("listen for %s at %s: %w", name, address, err), code.SettingsInvalid)
 	}
-	if tlsConfig != nil {
-		socket = tls.NewListener(socket, tlsConfig)
+	if name == facePeers {
+		socket = countconn.Listener(socket, h.metrics)
 	}
 	limits := h.settings.Limits
 	server := &http.Server{
@@ -34,6 +42,7 @@
 		ReadHeaderTimeout: limits.HeaderTimeout.Std(),
 		IdleTimeout:       limits.IdleTimeout.Std(),
 		MaxHeaderBytes:    limits.MaxHeaderBytes,
+		TLSConfig:         tlsConfig,
 		Protocols:         new(http.Protocols),
 	}
 	server.Protocols.SetHTTP1(true)
@@ -44,7 +53,12 @@
 
 // serve runs the server until it is shut down.
 func (l *listener) serve() error {
-	err := l.server.Serve(l.socket)
+	var err error
+	if l.server.TLSConfig != nil {
+		err = l.server.ServeTLS(l.socket, "", "")
+	} else {
+		err = l.server.Serve(l.socket)
+	}
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
--- a/host/operators.go
+++ b/host/operators.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"strings"
 	"time"
 
 	"connectrpc.com/connect"
@@ -13,6 +14,7 @@
 	"github.com/citronscale/citronscale/chart"
 	"github.com/citronscale/citronscale/code"
 	"github.com/citronscale/citronscale/ident"
+	"github.com/citronscale/citronscale/membership"
 	"github.com/citronscale/citronscale/record"
 	"github.com/citronscale/citronscale/upstream"
 )
@@ -48,10 +50,12 @@
 	h := s.host
 	requests, tokens := h.lifecycle.inFlight()
 	known, up := h.countUpstreams()
+	peers := h.agreement.members()
 	status := &operatorv1.StatusResponse{
 		Host: string(h.self), Incarnation: uint64(h.incarnation), FailureDomain: h.settings.Host.FailureDomain,
 		State: string(h.lifecycle.state()), ConfigRevision: h.agreement.revision(),
-		ConfigAgeMs:    uint64(h.agreement.age(time.Now()).Milliseconds()),
+		ConfigAgeMs: uint64(h.agreement.age(time.Now()).Milliseconds()),
+		PeersKnown:  uint32(len(peers)), PeersReady: uint32(countReady(peers)),
 		UpstreamsKnown: uint32(known), UpstreamsUp: uint32(up),
 		RequestsInFlight: uint32(requests), TokensInFlight: tokens,
 		StartedMs: uint64(time.Unix(0, int64(h.incarnation)).UnixMilli()),
@@ -91,7 +95,15 @@
 
 // Hosts implements operatorv1connect.OperatorServiceHandler.
 func (s *operatorService) Hosts(context.Context, *connect.Request[operatorv1.HostsRequest]) (*connect.Response[operatorv1.HostsResponse], error) {
+	now := time.Now()
 	response := &operatorv1.HostsResponse{}
+	for _, m := range s.host.agreement.members() {
+		response.Hosts = append(response.Hosts, &operatorv1.HostRow{
+			Host: string(m.Host), Incarnation: uint64(m.Incarnation), FailureDomain: m.FailureDomain,
+			State: stateName(m.State), PeerAddress: m.PeerAddress, ConfigRevision: m.ConfigRevision,
+			HeardMsAgo: uint64(max(now.Sub(m.HeardAt), 0).Milliseconds()),
+		})
+	}
 	return connect.NewResponse(response), nil
 }
 
@@ -146,3 +158,19 @@
 	}
 	return known, up
 }
+
+// countReady returns the number of members that are ready.
+func countReady(members []membership.Member) int {
+	ready := 0
+	for _, m := range members {
+		if m.State == membership.Ready {
+			ready++
+		}
+	}
+	return ready
+}
+
+// stateName returns the name of a host state as operators read it.
+func stateName(state membership.State) string {
+	return strings.ToLower(strings.TrimPrefix(state.String(), "HOST_STATE_"))
+}
--- a/host/placement.go
+++ b/host/placement.go
@@ -14,6 +14,7 @@
 	"github.com/citronscale/citronscale/lease"
 	"github.com/citronscale/citronscale/limit"
 	"github.com/citronscale/citronscale/retry"
+	"github.com/citronscale/citronscale/settings"
 	"github.com/citronscale/citronscale/upstream"
 )
 
@@ -21,8 +22,9 @@
 // mutex belong to it.
 type placement struct {
 	self     lease.Holder
-	domain   string
-	wakeups  chan struct{} // holds one signal: capacity may have become free
+	options  settings.Placement
+	picker   balancer.Picker // nil for the policy of the set
+	wakeups  chan struct{}   // holds one signal: capacity may have become free
 	mu       sync.Mutex
 	rng      *rand.Rand
 	set      *balancer.Set
@@ -36,14 +38,14 @@
 	estimate runEstimate
 }
 
-func newPlacement(self lease.Holder, domain string, now time.Time) *placement {
+func newPlacement(self lease.Holder, s *settings.Settings, now time.Time) (*placement, error) {
 	seed := uint64(self.Incarnation)
-	return &placement{
+	p := &placement{
 		self:    self,
-		domain:  domain,
+		options: s.Placement,
 		wakeups: make(chan struct{}, 1),
 		rng:     rand.New(rand.NewPCG(seed, seed)),
-		set:     balancer.NewSet(domain, balancer.DefaultOptions()),
+		set:     balancer.NewSet(s.Host.FailureDomain, balancer.DefaultOptions()),
 		book:    lease.NewBook(lease.DefaultBookOptions(), self),
 		owners:  make(map[upstream.Name]*lease.Owner),
 		asking:  make(map[lease.Line]chan struct{}),
@@ -52,6 +54,15 @@
 		policy:  retry.DefaultPolicy(),
 		queues:  make(map[string]*modelQueue),
 	}
+	if s.Placement.Policy == settings.DefaultPolicy {
+		return p, nil
+	}
+	picker, err := balancer.NewPicker(s.Placement.Policy, s.Host.FailureDomain)
+	if err != nil {
+		return nil, code.Wrap(err, code.SettingsInvalid)
+	}
+	p.picker = picker
+	return p, nil
 }
 
 // placed is the right to send a completion to an engine.
@@ -65,6 +76,9 @@
 func (p *placement) candidates(request *balancer.Request) []upstream.Name {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.picker != nil {
+		return p.picker.Pick(time.Now(), request, p.set.Loads(request.Model), p.rng)
+	}
 	return p.set.Pick(time.Now(), request, p.rng)
 }
 
@@ -92,7 +106,7 @@
 		return nil, false
 	}
 	used := load.UsedTokens + load.QueuedTokens + load.UnseenTokens
-	if load.CapacityTokens > 0 && used+request.Memory() > load.CapacityTokens {
+	if p.options.Leases && load.CapacityTokens > 0 && used+request.Memory() > load.CapacityTokens {
 		return nil, false
 	}
 	permit := p.book.Force(lease.Line{Engine: name, Class: request.Class}, request.Memory())
@@ -166,7 +180,7 @@
 	if h.placement.needsGang(request) {
 		return h.placeGang(ctx, request)
 	}
-	if !h.placement.queued(request) {
+	if !h.settings.Placement.FairQueue || !h.placement.queued(request) {
 		if p, err := h.tryPlace(ctx, request); p != nil || err != nil {
 			return p, err
 		}
@@ -181,6 +195,10 @@
 	if len(names) == 0 {
 		return nil, code.New(code.UpstreamUnavailable, "model %q has no usable engine", request.Model)
 	}
+	if !h.settings.Placement.Leases {
+		p, _ := h.placement.force(request, names[0])
+		return p, nil
+	}
 	if p, ok := h.placement.take(request, names); ok {
 		return p, nil
 	}
--- a/host/platform.go
+++ b/host/platform.go
@@ -109,6 +109,7 @@
 func (h *Host) useHostList(list []platform.Entry) {
 	now := time.Now()
 	h.noteUpstreams(h.directory.UpdateList(now, list))
+	h.agreement.useHostList(now, list)
 	h.placement.putEngines(h.directory.Engines())
 }
 
--- a/settings/check.go
+++ b/settings/check.go
@@ -11,6 +11,7 @@
 var (
 	logFormats = []string{LogJSON, LogConsole}
 	logLevels  = []string{"debug", "info", "warn", "error"}
+	policies   = []string{DefaultPolicy, "random", "round-robin", "least-in-flight", "better-of-two"}
 )
 
 // checker collects the faults of decoded settings.
@@ -29,6 +30,7 @@
 	c.limits(s.Limits)
 	c.oneOf("log.format", s.Log.Format, logFormats)
 	c.oneOf("log.level", s.Log.Level, logLevels)
+	c.oneOf("placement.policy", s.Placement.Policy, policies)
 	c.atLeast("record.capacity", int64(s.Record.Capacity), 1)
 	return c.faults
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -28,6 +28,7 @@
 	DefaultLogFormat      = LogJSON
 	DefaultLogLevel       = "info"
 	DefaultRecordCapacity = 65536 // entries
+	DefaultPolicy         = "cost-aware"
 )
 
 // Settings are the local settings of one host.
@@ -40,6 +41,8 @@
 	Limits   Limits   `toml:"limits"`
 	Log      Log      `toml:"log"`
 	Record   Record   `toml:"record"`
+
+	Placement Placement `toml:"placement"`
 }
 
 // Host names the host and the failure domain that it runs in.
@@ -98,6 +101,15 @@
 	Capacity int `toml:"capacity"` // entries
 }
 
+// Placement selects the balancing policy. All but the defaults are baselines
+// that measurements compare the defaults with.
+type Placement struct {
+	Policy     string `toml:"policy"`     // as balancer.NewPicker spells it
+	Leases     bool   `toml:"leases"`     // admit against leases of the owners of engines
+	FairQueue  bool   `toml:"fair_queue"` // queue by team and class on the host
+	Priorities bool   `toml:"priorities"` // send the class of a request to the engines
+}
+
 // Default returns the settings that hold where a file is silent. They are not
 // valid on their own: the host, the listeners and the platform have no defaults.
 func Default() *Settings {
@@ -114,5 +126,7 @@
 		},
 		Log:    Log{Format: DefaultLogFormat, Level: DefaultLogLevel},
 		Record: Record{Capacity: DefaultRecordCapacity},
+
+		Placement: Placement{Policy: DefaultPolicy, Leases: true, FairQueue: true, Priorities: true},
 	}
 }
