Queue time counts apart from the run of a request; profiles for operators

Requests were refused with DeadlineTooShort although nothing waited: the queue counts the estimated run into the deadline, and the host had put the end of the queue time there.

--- a/host/operators.go
+++ b/host/operators.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"net/http/pprof"
 	"strings"
 	"time"
 
@@ -26,6 +27,8 @@
 	mux.Handle("GET /metrics", h.metrics.Handler())
 	mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", h.serveReady)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
 	return mux
 }
 
--- a/host/queue.go
+++ b/host/queue.go
@@ -66,13 +66,20 @@
 func (h *Host) enqueue(w *waiter) (id uint64, err error) {
 	p := h.placement
 	now := time.Now()
-	item := h.queueItem(now, w.request)
+	queueTime, weight := h.queuePolicy(w.request.Team)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	q := p.queue(w.request.Model)
 	q.next++
-	item.ID = q.next
-	item.MinRun = p.estimate.run(w.request)
+	item := limit.Item{
+		ID: q.next, Team: w.request.Team, Weight: weight, Class: w.request.Class, Tokens: w.request.Memory(),
+		Deadline: w.request.Deadline, MinRun: p.estimate.run(w.request),
+	}
+	// The queue counts the run into the deadline, so the end of the queue time
+	// is stated as a deadline after the run.
+	if end := now.Add(queueTime + item.MinRun); end.Before(item.Deadline) {
+		item.Deadline = end
+	}
 	evicted, err := q.fair.Push(now, item)
 	for _, victim := range evicted {
 		q.refuse(victim.ID, code.New(code.NoCapacity, "the queue is full and team %q holds most of it", victim.Team))
@@ -88,17 +95,14 @@
 	return item.ID, nil
 }
 
-// queueItem describes a waiter to the fair queue.
-func (h *Host) queueItem(now time.Time, request *balancer.Request) limit.Item {
-	deadline := request.Deadline
-	weight := 1.0
-	if cfg, ok := h.agreement.config(); ok {
-		if end := now.Add(cfg.Fleet().QueueTime); end.Before(deadline) {
-			deadline = end
-		}
-		weight = cfg.Team(request.Team).Weight
+// queuePolicy returns how long a request of the team may wait and the weight of
+// the team.
+func (h *Host) queuePolicy(team string) (queueTime time.Duration, weight float64) {
+	cfg, ok := h.agreement.config()
+	if !ok {
+		return 0, 1
 	}
-	return limit.Item{Team: request.Team, Weight: weight, Class: request.Class, Tokens: request.Memory(), Deadline: deadline}
+	return cfg.Fleet().QueueTime, cfg.Team(team).Weight
 }
 
 func (p *placement) queue(model string) *modelQueue {
