--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -1,6 +1,7 @@
 package metrics
 
 import (
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -20,7 +21,7 @@
 func scrape(t *testing.T, m *Metrics) string {
 	t.Helper()
 	answer := httptest.NewRecorder()
-	m.Handler().ServeHTTP(answer, httptest.NewRequest("GET", "/metrics", nil))
+	m.Handler().ServeHTTP(answer, httptest.NewRequest(http.MethodGet, "/metrics", nil))
 	assert.Equal(t, answer.Code, 200)
 	return answer.Body.String()
 }
