Lease: account of the owner and book of the holder, fuzzed over lost, repeated and late messages

Cause: local admission needs an upper bound that holds while messages, hosts and owners fail. Sequence numbers alone can't tell a new owner that a request is old, so the number now is the time of sending and the owner refuses what was under way longer than MaxRequestAge; an answer without grant is evaluated again only by Retry, for a caller that still waits. Ruled out: that reports alone lower the booked use. With reports that lag 5 s it charges finished work twice as long as it ran.

--- a/lease/book.go
+++ b/lease/book.go
@@ -114,11 +114,13 @@
 // Request builds the request for a lease that covers work of need tokens on top
 // of what is in use. With need zero it renews what the recent demand justifies
 // and gives back the rest. A newer request replaces one that is not answered.
+// The sequence number is the time of sending in microseconds, so that the owner
+// can refuse a request that was under way for too long.
 func (b *Book) Request(now time.Time, line Line, need uint64) *peerv1.LeaseRequest {
 	s := b.line(line)
 	want := b.want(now, s)
 	s.limit = max(s.inUse, min(b.valid(now, s), s.inUse+max(want, need)))
-	b.sequence++
+	b.sequence = max(b.sequence+1, uint64(now.UnixMicro()))
 	s.sequence = b.sequence
 	s.claimed = s.limit
 	s.sent = now
--- a/lease/doc.go
+++ b/lease/doc.go
@@ -18,7 +18,8 @@
 //     before. A lost, repeated or late message therefore never adds up: the
 //     sequence number lets the owner repeat the answer to a repeated request
 //     and ignore an older one, and the holder ignores all answers but that to
-//     its newest request.
+//     its newest request. The number is the time of sending, so that an owner
+//     that does not know the newest number refuses what was under way too long.
 //   - The holder counts the time to live from when it sent the request and ends
 //     Margin early; the owner counts it from when it handled the request. So a
 //     holder that was paused or cut off stops before the owner lends the tokens
@@ -36,6 +37,11 @@
 // they agree again; and by work that reaches the engine more than Margin after
 // Book.Take. The engine's own admission then queues or refuses the excess.
 //
+// All clocks may differ from the owner's by MaxSkew. A holder whose clock is
+// further off gets no lease, and Owner.RefusedAsMisdated counts its requests. The
+// membership must take longer than MaxTickGap to call a host failed, so that an
+// owner that was frozen while another took over notices its pause.
+//
 // Nothing in this package is safe for concurrent use; the host package holds
 // the lock. No function does I/O or reads the clock.
 package lease
--- a/lease/owner.go
+++ b/lease/owner.go
@@ -14,7 +14,8 @@
 type OwnerOptions struct {
 	TTL             time.Duration // of a lease, counted from when the request was handled
 	Margin          time.Duration // the same as the holders' Margin
-	MaxSkew         time.Duration // between the clocks of an engine and of its owner
+	MaxSkew         time.Duration // between the clocks of the owner and any holder or engine
+	MaxRequestAge   time.Duration // older requests are refused
 	MaxReportAge    time.Duration // nothing is lent on older reports
 	MaxTickGap      time.Duration // a longer time without Tick counts as a pause
 	SettleShare     float64       // of the free tokens, lent while a new account settles
@@ -33,6 +34,7 @@
 		TTL:             2 * time.Second,
 		Margin:          500 * time.Millisecond,
 		MaxSkew:         250 * time.Millisecond,
+		MaxRequestAge:   time.Second,
 		MaxReportAge:    10 * time.Second,
 		MaxTickGap:      2 * time.Second,
 		SettleShare:     0.25,
@@ -45,6 +47,12 @@
 	}
 }
 
+// settleTime is the time in which all leases and requests from before it are
+// over, and any report taken after it says so.
+func (o *OwnerOptions) settleTime() time.Duration {
+	return max(o.TTL, o.MaxRequestAge+2*o.MaxSkew) + o.MaxSkew
+}
+
 // Owner keeps the account of one engine.
 type Owner struct {
 	options  OwnerOptions
@@ -61,6 +69,8 @@
 	short        demand
 	unmet        unmetNeed
 	drain        rate.Drain
+
+	refusedAsMisdated uint64
 }
 
 // NewOwner returns the account of an engine that this host owns from now on.
@@ -77,7 +87,7 @@
 	o.newest = make(map[ident.Host]ident.Incarnation)
 	o.report = EngineReport{}
 	o.ticked = now
-	o.settled = now.Add(o.options.TTL + o.options.MaxSkew)
+	o.settled = now.Add(o.options.settleTime())
 	o.charged = 0
 	o.chargedShort = 0
 	o.holders = 0
@@ -113,7 +123,7 @@
 		if a.asked.After(recent) {
 			o.holders++
 		}
-		if a.idleSince(recent) {
+		if a.idleSince(now.Add(-o.options.settleTime())) {
 			delete(o.accounts, key)
 		}
 	}
@@ -189,15 +199,12 @@
 	}
 }
 
-// Handle answers a request for a lease. The host may call it again with the
-// same request when tokens have become free, as long as it was answered
-// without a grant.
+// Handle answers a request for a lease.
 func (o *Owner) Handle(now time.Time, req *peerv1.LeaseRequest) *peerv1.LeaseResponse {
 	o.Tick(now)
-	holder := Holder{ident.Host(req.GetHost()), ident.Incarnation(req.GetIncarnation())}
-	o.HolderReplaced(now, holder.Host, holder.Incarnation)
-	key := accountKey{holder, balancer.ClassOf(req.GetClass())}
-	if holder.Incarnation < o.newest[holder.Host] {
+	key := keyOf(req)
+	o.HolderReplaced(now, key.holder.Host, key.holder.Incarnation)
+	if key.holder.Incarnation < o.newest[key.holder.Host] {
 		return o.answer(key, 0, false)
 	}
 	a := o.account(key)
@@ -206,10 +213,43 @@
 		return o.answer(key, 0, false)
 	case req.GetSequence() == a.sequence && a.granted > 0:
 		return o.answer(key, a.granted, a.renewed)
+	case o.misdated(now, req):
+		o.refusedAsMisdated++
+		return o.answer(key, 0, false)
 	}
 	return o.book(now, key, a, req)
 }
 
+// Retry answers once more a request that was answered without a grant, and
+// whose caller still waits on its connection.
+func (o *Owner) Retry(now time.Time, req *peerv1.LeaseRequest) *peerv1.LeaseResponse {
+	o.Tick(now)
+	key := keyOf(req)
+	a := o.accounts[key]
+	if a == nil || a.sequence != req.GetSequence() || a.granted > 0 {
+		return o.answer(key, 0, false)
+	}
+	return o.book(now, key, a, req)
+}
+
+func keyOf(req *peerv1.LeaseRequest) accountKey {
+	holder := Holder{ident.Host(req.GetHost()), ident.Incarnation(req.GetIncarnation())}
+	return accountKey{holder, balancer.ClassOf(req.GetClass())}
+}
+
+// misdated reports whether a request was under way for too long, or whether the
+// clock of its holder is wrong. The sequence number carries the time of sending.
+func (o *Owner) misdated(now time.Time, req *peerv1.LeaseRequest) bool {
+	age := now.Sub(time.UnixMicro(int64(req.GetSequence())))
+	return age > o.options.MaxRequestAge+o.options.MaxSkew || age < -o.options.MaxSkew
+}
+
+// RefusedAsMisdated returns the number of requests refused because of their
+// age. It grows steadily if the clock of a holder is wrong.
+func (o *Owner) RefusedAsMisdated() uint64 {
+	return o.refusedAsMisdated
+}
+
 // book books the claim of the request and what can be granted on top of it.
 func (o *Owner) book(now time.Time, key accountKey, a *account, req *peerv1.LeaseRequest) *peerv1.LeaseResponse {
 	held := uint64(req.GetHeldTokens())
