--- a/internal/load/demo.go
+++ b/internal/load/demo.go
@@ -12,6 +12,7 @@
 	"text/tabwriter"
 	"time"
 
+	"github.com/citronscale/citronscale/code"
 	"github.com/citronscale/citronscale/platform"
 	"github.com/citronscale/citronscale/upstream"
 	"github.com/citronscale/citronscale/upstream/enginehttp"
@@ -197,13 +198,22 @@
 	row.Result = fmt.Sprintf("status %d", status)
 	switch {
 	case !row.OK:
-		row.Result += ": " + string(data)
+		row.Result += ": " + problemText(data)
 	case header.Get("Citron-Replayed") != "":
 		row.Result += ", recorded answer"
 	}
 	return row
 }
 
+// problemText returns the code and detail of a problem document.
+func problemText(data []byte) string {
+	var problem chunk
+	if err := json.Unmarshal(data, &problem); err != nil || problem.Code == code.OK {
+		return "no result code"
+	}
+	return fmt.Sprintf("%d %s (%s): %s", problem.Code, problem.Code.Name(), problem.Code.Outcome(), problem.Detail)
+}
+
 func (d *Demo) post(ctx context.Context, host platform.Entry, path, key string, body []byte) (int, http.Header, []byte, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+host.Address+path, bytes.NewReader(body))
 	if err != nil {
--- a/internal/stub/enginestub/prepare.go
+++ b/internal/stub/enginestub/prepare.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"slices"
 	"strings"
-	"time"
 
 	"github.com/citronscale/citronscale/ident"
 	"github.com/citronscale/citronscale/upstream"
@@ -65,7 +64,7 @@
 		kind:     kind,
 		priority: priority,
 		changed:  make(chan struct{}, 1),
-		run:      &Run{Attempt: key, Kind: kind, AcceptedMS: time.Now().UnixMilli()},
+		run:      newRun(key, kind),
 	}
 }
 
--- a/internal/stub/enginestub/runs.go
+++ b/internal/stub/enginestub/runs.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/citronscale/citronscale/internal/stub/stubhttp"
 )
@@ -24,9 +25,18 @@
 	Started      bool   `json:"started"` // entered the batch
 	Whole        bool   `json:"whole"`   // the end marker was written
 	Cancelled    bool   `json:"cancelled"`
-	AcceptedMS   int64  `json:"accepted_ms"` // Unix milliseconds
+	AcceptedMS   int64  `json:"accepted_ms"`    // Unix milliseconds
+	FirstTokenUS int64  `json:"first_token_us"` // from acceptance, in microseconds; zero if there is none yet
 	StartedMS    int64  `json:"started_ms"`
 	EndedMS      int64  `json:"ended_ms"`
+
+	accepted time.Time
+}
+
+// newRun returns the record of an attempt that arrives now.
+func newRun(attempt, kind string) *Run {
+	now := time.Now()
+	return &Run{Attempt: attempt, Kind: kind, AcceptedMS: now.UnixMilli(), accepted: now}
 }
 
 // Kinds of runs.
--- a/internal/stub/enginestub/steps.go
+++ b/internal/stub/enginestub/steps.go
@@ -132,6 +132,9 @@
 	if j.prefillLeft > 0 {
 		return
 	}
+	if j.run.FirstTokenUS == 0 {
+		j.run.FirstTokenUS = time.Since(j.run.accepted).Microseconds()
+	}
 	if j.generated < j.limit {
 		j.generated++
 	}
