--- a/cmd/citronload/run.go
+++ b/cmd/citronload/run.go
@@ -50,6 +50,9 @@
 		Caller:   target.caller,
 	}
 	report, mixed := c.run(ctx, target, runner)
+	if err := ctx.Err(); err != nil {
+		return fmt.Errorf("run of %q was interrupted, nothing is reported: %w", w.Name, err)
+	}
 	return c.write(report, w, mixed)
 }
 
