--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -9,6 +9,9 @@
 	ProcessLeaving  = Event{102, "process leaving", log.InfoLevel, "A planned stop began; nothing new is admitted.", ""}
 	ProcessStopped  = Event{103, "process stopped", log.InfoLevel, "Nothing is in flight and the process ends.", ""}
 	ProcessPaused   = Event{104, "process paused", log.WarnLevel, "The process did not run for the time given and judged its state anew.", "Look for an overloaded or frozen machine."}
+
+	CertificatesReloaded = Event{105, "certificates reloaded", log.InfoLevel, "Changed certificate files came into use.", ""}
+	CertificatesInvalid  = Event{106, "certificates invalid", log.ErrorLevel, "Changed certificate files can't be used; the last good ones stay.", "Correct the files that the settings name."}
 )
 
 // Events of requests: 2xx.
@@ -53,6 +56,7 @@
 
 var catalogue = []Event{
 	ProcessStarting, ProcessReady, ProcessLeaving, ProcessStopped, ProcessPaused,
+	CertificatesReloaded, CertificatesInvalid,
 	RequestAdmitted, RequestFinished, RequestRefused, RequestFailed,
 	AttemptStarted, AttemptFailed, AttemptRetried,
 	ConfigAccepted, ConfigRejected, ConfigOlder, ConfigSourceDown, ConfigSourceBack,
--- a/host/host.go
+++ b/host/host.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net/http"
 	"net/netip"
 	"sync/atomic"
@@ -19,6 +20,7 @@
 	"github.com/citronscale/citronscale/membership"
 	"github.com/citronscale/citronscale/metrics"
 	"github.com/citronscale/citronscale/settings"
+	"github.com/citronscale/citronscale/tlsfiles"
 )
 
 // Host is one entry host process.
@@ -35,6 +37,7 @@
 	directory   *directory.Directory
 	platform    *platformReader
 	placement   *placement
+	tls         *tlsfiles.Pair // nil without certificates
 	peers       *peerClients
 	strikes     *strikes
 	records     *records
@@ -56,6 +59,10 @@
 	if err != nil {
 		return nil, err
 	}
+	pair, err := openTLS(s.TLS, log)
+	if err != nil {
+		return nil, err
+	}
 	self := membership.Self{
 		Host: s.Host.Name, Incarnation: incarnation,
 		PeerAddress: s.Listen.Peers.String(), FailureDomain: s.Host.FailureDomain,
@@ -70,7 +77,8 @@
 		lifecycle:   newLifecycle(log),
 		agreement:   newAgreement(self, time.Now()),
 		placement:   placement,
-		peers:       newPeerClients(nil, instruments),
+		tls:         pair,
+		peers:       newPeerClients(clientTLS(pair), instruments),
 		strikes:     newStrikes(),
 		directory:   directory.New(newClients()),
 		platform:    newPlatformReader(s.Platform),
@@ -135,13 +143,14 @@
 		name    string
 		address netip.AddrPort
 		handler http.Handler
+		tls     *tls.Config
 	}{
-		{faceCallers, addresses.Callers, gateway.New(h, limits, h.pool, h.log)},
-		{facePeers, addresses.Peers, h.peerHandler()},
-		{faceOperators, addresses.Operators, h.operatorHandler()},
+		{faceCallers, addresses.Callers, gateway.New(h, limits, h.pool, h.log), nil},
+		{facePeers, addresses.Peers, h.peerHandler(), serverTLS(h.tls)},
+		{faceOperators, addresses.Operators, h.operatorHandler(), serverTLS(h.tls)},
 	}
 	for _, face := range faces {
-		l, err := h.openListener(face.name, face.address, face.handler, nil)
+		l, err := h.openListener(face.name, face.address, face.handler, face.tls)
 		if err != nil {
 			return err
 		}
