--- a/ownership/ownership.go
+++ b/ownership/ownership.go
@@ -1,7 +1,9 @@
-// Package ownership temporary.
 package ownership
 
 import (
+	"slices"
+	"sync"
+
 	"github.com/cespare/xxhash/v2"
 	"github.com/dgryski/go-rendezvous"
 
@@ -9,22 +11,66 @@
 	"github.com/citronscale/citronscale/upstream"
 )
 
-type Map struct{ r *rendezvous.Rendezvous }
+// maxKnown bounds the owners that a map remembers.
+const maxKnown = 1 << 16
+
+// Map assigns engines to hosts.
+type Map struct {
+	hosts  []ident.Host // sorted, without duplicates
+	hashes *rendezvous.Rendezvous
+
+	mu    sync.Mutex
+	known map[upstream.Name]ident.Host
+}
 
+// New returns the map for the ready hosts, in any order.
 func New(hosts []ident.Host) *Map {
-	if len(hosts) == 0 {
-		return &Map{}
+	sorted := slices.Clone(hosts)
+	slices.Sort(sorted)
+	sorted = slices.Compact(sorted)
+	names := make([]string, 0, len(sorted))
+	for _, host := range sorted {
+		names = append(names, string(host))
+	}
+	return &Map{
+		hosts:  sorted,
+		hashes: rendezvous.New(names, xxhash.Sum64String),
+		known:  make(map[upstream.Name]ident.Host),
+	}
+}
+
+// Owner returns the owner of the engine, empty if there are no ready hosts.
+func (m *Map) Owner(engine upstream.Name) ident.Host {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if owner, ok := m.known[engine]; ok {
+		return owner
 	}
-	var n []string
-	for _, h := range hosts {
-		n = append(n, string(h))
+	owner := ident.Host(m.hashes.Lookup(string(engine)))
+	if len(m.known) < maxKnown {
+		m.known[engine] = owner
 	}
-	return &Map{rendezvous.New(n, xxhash.Sum64String)}
+	return owner
 }
 
-func (m *Map) Owner(e upstream.Name) ident.Host {
-	if m.r == nil {
-		return ""
+// Owned returns the engines that the host owns, in the order given.
+func (m *Map) Owned(host ident.Host, engines []upstream.Name) []upstream.Name {
+	var owned []upstream.Name
+	for _, engine := range engines {
+		if m.Owner(engine) == host {
+			owned = append(owned, engine)
+		}
 	}
-	return ident.Host(m.r.Lookup(string(e)))
+	return owned
+}
+
+// Hosts returns the hosts of the map in ascending order.
+func (m *Map) Hosts() []ident.Host {
+	return slices.Clone(m.hosts)
+}
+
+// Covers reports whether the map was built for these sorted hosts, so that the
+// caller can keep it.
+func (m *Map) Covers(hosts []ident.Host) bool {
+	return slices.Equal(m.hosts, hosts)
 }
