--- a/limit/bucket.go
+++ b/limit/bucket.go
@@ -7,6 +7,9 @@
 	"github.com/citronscale/citronscale/internal/rate"
 )
 
+// peerDemand is what the other hosts advertise for one team, in tokens per second.
+type peerDemand map[ident.Host]float64
+
 // bucket is the token bucket of one team on one host.
 type bucket struct {
 	limit   TeamRate // over all hosts, as given with the newest request
@@ -18,34 +21,19 @@
 	active  time.Time // of the newest request
 	demand  rate.Demand
 	own     window
-	peers   map[ident.Host]*window
 }
 
 func newBucket(now time.Time) *bucket {
-	return &bucket{
-		updated: now,
-		active:  now,
-		own:     window{start: now},
-		peers:   make(map[ident.Host]*window),
-	}
-}
-
-func (b *bucket) observe(now time.Time, host ident.Host, value float64, spread time.Duration) {
-	w := b.peers[host]
-	if w == nil {
-		w = &window{start: now}
-		b.peers[host] = w
-	}
-	w.observe(now, spread, value)
+	return &bucket{updated: now, active: now, own: window{start: now}}
 }
 
 // share returns the part of the rate of the team that this host may use.
-func (b *bucket) share(now time.Time, limit TeamRate, hosts int, options *Options) float64 {
+func (b *bucket) share(now time.Time, limit TeamRate, peers peerDemand, hosts int, options *Options) float64 {
 	even := options.EvenWeight * limit.TokensPerSecond / float64(hosts)
 	own := b.own.smallest(now, options.Spread) + even
 	total := own + even*float64(hosts-1)
-	for _, w := range b.peers {
-		total += w.largest(now, options.Spread)
+	for _, demand := range peers {
+		total += demand
 	}
 	return own / total
 }
@@ -77,21 +65,20 @@
 	return true, 0
 }
 
-// window keeps the smallest and largest value that held at any time within the
-// last period of a given length, and at most twice that length. The value was
-// zero before the window started.
+// window keeps the smallest value that held at any time within the last period
+// of a given length, and at most twice that length. The value was zero before
+// the window started.
 type window struct {
-	start                  time.Time // of the current period
-	last                   float64
-	currentMin, currentMax float64
-	formerMin, formerMax   float64
+	start   time.Time // of the current period
+	last    float64
+	current float64 // smallest of the current period
+	former  float64 // smallest of the period before
 }
 
 func (w *window) observe(now time.Time, length time.Duration, value float64) {
 	w.turn(now, length)
 	w.last = value
-	w.currentMin = min(w.currentMin, value)
-	w.currentMax = max(w.currentMax, value)
+	w.current = min(w.current, value)
 }
 
 // turn starts a new period if the current one is over.
@@ -100,20 +87,15 @@
 	if elapsed < length {
 		return
 	}
-	w.formerMin, w.formerMax = w.currentMin, w.currentMax
+	w.former = w.current
 	if elapsed >= 2*length {
-		w.formerMin, w.formerMax = w.last, w.last
+		w.former = w.last
 	}
-	w.currentMin, w.currentMax = w.last, w.last
+	w.current = w.last
 	w.start = now
 }
 
 func (w *window) smallest(now time.Time, length time.Duration) float64 {
 	w.turn(now, length)
-	return min(w.currentMin, w.formerMin)
-}
-
-func (w *window) largest(now time.Time, length time.Duration) float64 {
-	w.turn(now, length)
-	return max(w.currentMax, w.formerMax)
+	return min(w.current, w.former)
 }
--- a/limit/doc.go
+++ b/limit/doc.go
@@ -6,9 +6,9 @@
 // rate of a team on one host is its fleet rate times the share of this host in
 // the advertised demand, where each host counts an equal small demand besides,
 // so that a team without recent demand has its rate divided evenly. A host
-// counts its own demand as the smallest that it advertised in the last Spread,
-// and that of each other host as the largest it heard of in that time. So if
-// each record reaches every host within Spread, the rates of all hosts add up to
+// counts its own demand as the smallest that it advertised in the last Spread.
+// So if each record reaches every host within Spread, no host counts more for
+// itself than the others count for it, and the rates of all hosts add up to
 //
 //	sum of rates <= rate * (1 + unknownHosts/hosts)
 //
--- a/limit/limiter.go
+++ b/limit/limiter.go
@@ -34,7 +34,8 @@
 type Limiter struct {
 	options Options
 	teams   map[string]*bucket
-	digests map[uint32]*bucket
+	peers   map[uint32]peerDemand   // by team digest
+	heard   map[ident.Host][]uint32 // team digests that hold demand of the host
 	hosts   int
 }
 
@@ -44,7 +45,8 @@
 	return &Limiter{
 		options: options,
 		teams:   make(map[string]*bucket),
-		digests: make(map[uint32]*bucket),
+		peers:   make(map[uint32]peerDemand),
+		heard:   make(map[ident.Host][]uint32),
 		hosts:   max(hosts, 1),
 	}
 }
@@ -68,26 +70,34 @@
 		return true, 0
 	}
 	b.limit = limit
-	l.refill(now, b)
+	l.refill(now, team, b)
 	return b.take(float64(tokens))
 }
 
 // Peers takes in the usage that the record of another host carries. The host
-// calls it for every member at least once each Spread.
-func (l *Limiter) Peers(now time.Time, host ident.Host, usage []*peerv1.TeamUsage) {
-	values := make(map[*bucket]float64, len(usage))
+// calls it for every member before it admits the first request, and then at
+// least once each Spread.
+func (l *Limiter) Peers(host ident.Host, usage []*peerv1.TeamUsage) {
+	values := make(map[uint32]float64, len(usage))
 	for _, u := range usage {
-		if b := l.digests[u.GetTeamDigest()]; b != nil {
-			values[b] += float64(u.GetTokensPerSecond())
-		}
+		values[u.GetTeamDigest()] += float64(u.GetTokensPerSecond())
 	}
-	for _, b := range l.digests {
-		if value, ok := values[b]; ok || b.peers[host] != nil {
-			b.observe(now, host, value, l.options.Spread)
-		}
+	l.Forget(host)
+	for digest, value := range values {
+		l.setPeer(digest, host, value)
 	}
 }
 
+func (l *Limiter) setPeer(digest uint32, host ident.Host, value float64) {
+	demand := l.peers[digest]
+	if demand == nil {
+		demand = make(peerDemand)
+		l.peers[digest] = demand
+	}
+	demand[host] = value
+	l.heard[host] = append(l.heard[host], digest)
+}
+
 // SetHosts sets the number of hosts that are known: this one and recently lost
 // ones included.
 func (l *Limiter) SetHosts(hosts int) {
@@ -96,9 +106,14 @@
 
 // Forget drops the usage of a host that the membership no longer holds.
 func (l *Limiter) Forget(host ident.Host) {
-	for _, b := range l.teams {
-		delete(b.peers, host)
+	for _, digest := range l.heard[host] {
+		demand := l.peers[digest]
+		delete(demand, host)
+		if len(demand) == 0 {
+			delete(l.peers, digest)
+		}
 	}
+	delete(l.heard, host)
 }
 
 // Usage returns the demand that the own membership record advertises from now
@@ -107,9 +122,9 @@
 func (l *Limiter) Usage(now time.Time, maxTeams int) []*peerv1.TeamUsage {
 	usage := make([]*peerv1.TeamUsage, 0, len(l.teams))
 	for team, b := range l.teams {
-		l.refill(now, b)
+		l.refill(now, team, b)
 		if now.Sub(b.active) > l.options.Idle && b.level >= b.size {
-			l.drop(team)
+			delete(l.teams, team)
 			continue
 		}
 		usage = append(usage, &peerv1.TeamUsage{
@@ -131,19 +146,23 @@
 	for _, u := range usage {
 		values[u.TeamDigest] = float64(u.TokensPerSecond)
 	}
-	for digest, b := range l.digests {
-		b.own.observe(now, l.options.Spread, values[digest])
+	for team, b := range l.teams {
+		b.own.observe(now, l.options.Spread, values[TeamDigest(team)])
 	}
 }
 
 // Rate returns the rate of a team on this host in tokens per second.
 func (l *Limiter) Rate(now time.Time, team string, limit TeamRate) float64 {
-	return limit.TokensPerSecond * l.bucket(now, team).share(now, limit, l.hosts, &l.options)
+	return limit.TokensPerSecond * l.share(now, team, l.bucket(now, team), limit)
+}
+
+func (l *Limiter) share(now time.Time, team string, b *bucket, limit TeamRate) float64 {
+	return b.share(now, limit, l.peers[TeamDigest(team)], l.hosts, &l.options)
 }
 
-func (l *Limiter) refill(now time.Time, b *bucket) {
+func (l *Limiter) refill(now time.Time, team string, b *bucket) {
 	if b.limit.TokensPerSecond > 0 {
-		b.refill(now, b.share(now, b.limit, l.hosts, &l.options))
+		b.refill(now, l.share(now, team, b, b.limit))
 	}
 }
 
@@ -159,14 +178,5 @@
 	}
 	b = newBucket(now)
 	l.teams[team] = b
-	l.digests[TeamDigest(team)] = b
 	return b
 }
-
-func (l *Limiter) drop(team string) {
-	digest := TeamDigest(team)
-	if l.digests[digest] == l.teams[team] {
-		delete(l.digests, digest)
-	}
-	delete(l.teams, team)
-}
