--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -76,3 +76,33 @@
 		assert.Equal(t, h.book.Free(w.now, line), uint64(worldCapacity))
 	})
 }
+
+// Work taken at the last moment of a lease can reach the engine Margin later.
+// Until then the owner must not lend its tokens, although an engine whose clock
+// is ahead reports that nothing is in use.
+func TestTokensAreNotLentWhileWorkIsOnItsWay(t *testing.T) {
+	options := DefaultOwnerOptions()
+	now := worldStart
+	owner := NewOwner(options, "engine-0", now)
+	report := func() {
+		owner.Report(now, &EngineReport{AsOf: now.Add(options.MaxSkew), CapacityTokens: worldCapacity})
+	}
+	for !now.After(worldStart.Add(5 * time.Second)) {
+		now = now.Add(reportPeriod)
+		report()
+	}
+	book := NewBook(DefaultBookOptions(), Holder{Host: "host-0", Incarnation: 1})
+	line := Line{"engine-0", balancer.ClassShort}
+	req := book.Request(now, line, worldCapacity)
+	book.Response(line, req.Sequence, owner.Handle(now, req))
+	var sent time.Time
+	for book.Free(now, line) > 0 {
+		sent = now
+		now = now.Add(time.Millisecond)
+		report()
+	}
+	for ; now.Before(sent.Add(options.Margin)); now = now.Add(time.Millisecond) {
+		report()
+		assert.Equal(t, owner.free(balancer.ClassShort), uint64(0), "%v after the work was sent", now.Sub(sent))
+	}
+}
