Lease: engine reports, dumps, and tests of the short share and of large needs

Cause: the share of short requests stayed reserved for ever once it was used, because its decay was only applied when the next short request came (red: TestShortShareIsKeptAndLent, 0 granted where 940000 tokens were free a minute later). Tick applies it now.

--- a/balancer/class.go
+++ b/balancer/class.go
@@ -52,6 +52,12 @@
 	return int(c) - int(ClassShort)
 }
 
+// ClassOfPriority is the inverse of Priority. A priority of no class counts as
+// the nearest.
+func ClassOfPriority(priority int) Class {
+	return Class(min(max(priority, 0), Classes-1)) + ClassShort
+}
+
 // Bounds are the largest prompt lengths of the shorter classes in tokens.
 type Bounds struct {
 	ShortTokens  uint32
--- a/balancer/picker_test.go
+++ b/balancer/picker_test.go
@@ -105,5 +105,6 @@
 	for tokens, want := range map[uint32]Class{10: ClassShort, 11: ClassMedium, 100: ClassMedium, 101: ClassLong} {
 		assert.Equal(t, Classify(tokens, bounds), want)
 		assert.Equal(t, ClassOf(want.Wire()), want)
+		assert.Equal(t, ClassOfPriority(want.Priority()), want)
 	}
 }
--- /dev/null
+++ b/lease/dump.go
@@ -0,0 +1,91 @@
+package lease
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/citronscale/citronscale/balancer"
+	"github.com/citronscale/citronscale/upstream"
+)
+
+// OwnerDump is the state of an account for operators. Sizes are in tokens.
+type OwnerDump struct {
+	Engine            upstream.Name
+	Settling          bool
+	Leaving           bool
+	CapacityTokens    uint64
+	ChargedTokens     uint64
+	ShortReserve      uint64
+	ReportAge         time.Duration
+	RefusedAsMisdated uint64
+	Accounts          []AccountDump
+}
+
+// AccountDump is the state of one holder and class.
+type AccountDump struct {
+	Holder  Holder
+	Class   string
+	Leased  uint64
+	Pending uint64
+	Used    uint64
+	EndsIn  time.Duration // of the lease; negative once it has ended
+}
+
+// Dump returns the state of the account.
+func (o *Owner) Dump(now time.Time) OwnerDump {
+	dump := OwnerDump{
+		Engine:            o.engine,
+		Settling:          o.Settling(now),
+		Leaving:           o.report.Leaving,
+		CapacityTokens:    o.report.CapacityTokens,
+		ChargedTokens:     o.charged,
+		ShortReserve:      o.shortReserve(),
+		ReportAge:         now.Sub(o.report.AsOf),
+		RefusedAsMisdated: o.refusedAsMisdated,
+	}
+	for key, a := range o.accounts {
+		dump.Accounts = append(dump.Accounts, AccountDump{
+			Holder:  key.holder,
+			Class:   key.class.String(),
+			Leased:  a.leased,
+			Pending: a.pending,
+			Used:    a.used,
+			EndsIn:  a.expires.Sub(now),
+		})
+	}
+	slices.SortFunc(dump.Accounts, func(a, b AccountDump) int {
+		return cmp.Or(cmp.Compare(a.Holder.Host, b.Holder.Host),
+			cmp.Compare(a.Holder.Incarnation, b.Holder.Incarnation), cmp.Compare(a.Class, b.Class))
+	})
+	return dump
+}
+
+// LineDump is the state of one lease of a holder. Sizes are in tokens.
+type LineDump struct {
+	Engine      upstream.Name
+	Class       balancer.Class
+	Limit       uint64
+	InUse       uint64
+	EndsIn      time.Duration // negative once the lease has ended
+	Outstanding bool          // a request waits for its answer
+}
+
+// Dump returns the leases of the host.
+func (b *Book) Dump(now time.Time) []LineDump {
+	lines := make([]LineDump, 0, len(b.lines))
+	for line, s := range b.lines {
+		lines = append(lines, LineDump{
+			Engine:      line.Engine,
+			Class:       line.Class,
+			Limit:       s.limit,
+			InUse:       s.inUse,
+			EndsIn:      s.expires.Sub(now),
+			Outstanding: s.sequence != 0,
+		})
+	}
+	slices.SortFunc(lines, func(a, b LineDump) int {
+		return cmp.Or(cmp.Compare(a.Engine, b.Engine), cmp.Compare(a.Class, b.Class))
+	})
+	return lines
+}
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -7,8 +7,11 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	peerv1 "github.com/citronscale/citronscale/api/peer/v1"
 	"github.com/citronscale/citronscale/balancer"
+	"github.com/citronscale/citronscale/ident"
 	_ "github.com/citronscale/citronscale/internal/testseed"
+	"github.com/citronscale/citronscale/upstream"
 )
 
 // Messages are lost, repeated, late and out of order; sends take time; hosts
@@ -106,3 +109,76 @@
 		assert.Equal(t, owner.free(balancer.ClassShort), uint64(0), "%v after the work was sent", now.Sub(sent))
 	}
 }
+
+func TestReportOfCountsEveryPieceOfWork(t *testing.T) {
+	work := func(incarnation ident.Incarnation, tokens uint32, priority int) upstream.Work {
+		attempt := ident.Attempt{Request: ident.Request{Host: "host-1", Incarnation: incarnation}}
+		return upstream.Work{Attempt: attempt, Tokens: tokens, Priority: priority}
+	}
+	report := ReportOf(&upstream.Report{
+		Running: []upstream.Work{work(1, 10, 0)},
+		Waiting: []upstream.Work{work(1, 20, 2)},
+		Held:    []upstream.Work{work(2, 30, 0)},
+	})
+	holder := Holder{"host-1", 1}
+	assert.DeepEqual(t, report.Uses, []Use{
+		{holder, balancer.ClassShort, 10},
+		{holder, balancer.ClassLong, 20},
+		{Holder{"host-1", 2}, balancer.ClassLong, 30},
+	})
+}
+
+// Long work can't take the share of the short class while it is needed, and can
+// when it is not; a large need is met although small ones keep coming.
+func TestShortShareIsKeptAndLent(t *testing.T) {
+	options := DefaultOwnerOptions()
+	now := worldStart
+	owner := NewOwner(options, "engine-0", now)
+	const capacity = 1_000_000
+	pass := func(d time.Duration) {
+		for end := now.Add(d); now.Before(end); {
+			now = now.Add(reportPeriod)
+			owner.Report(now, &EngineReport{AsOf: now, CapacityTokens: capacity})
+		}
+	}
+	pass(5 * time.Second)
+	ask := func(host ident.Host, class balancer.Class, need uint32) uint32 {
+		return owner.Handle(now, &peerv1.LeaseRequest{
+			Host: string(host), Incarnation: 1, Class: class.Wire(),
+			NeedTokens: need, WantTokens: need, Sequence: uint64(now.UnixMicro()),
+		}).GetGrantedTokens()
+	}
+	assert.Equal(t, ask("a", balancer.ClassShort, 200_000), uint32(200_000))
+	pass(3 * time.Second)
+	assert.Equal(t, ask("b", balancer.ClassLong, 900_000), uint32(0), "the share was needed lately")
+	assert.Equal(t, ask("b", balancer.ClassLong, 800_000), uint32(800_000))
+	assert.Equal(t, ask("c", balancer.ClassShort, 150_000), uint32(150_000))
+	pass(time.Minute)
+	assert.Equal(t, ask("b", balancer.ClassLong, 960_000), uint32(0), "the floor is never lent")
+	assert.Equal(t, ask("b", balancer.ClassLong, 940_000), uint32(940_000))
+}
+
+func TestLargeNeedIsMetAlthoughSmallOnesKeepComing(t *testing.T) {
+	options := DefaultOwnerOptions()
+	now := worldStart
+	owner := NewOwner(options, "engine-0", now)
+	const capacity = 100
+	holders := []ident.Host{"a", "b", "c", "d"}
+	ask := func(host ident.Host, class balancer.Class, need uint32) uint32 {
+		return owner.Handle(now, &peerv1.LeaseRequest{
+			Host: string(host), Incarnation: 1, Class: class.Wire(),
+			NeedTokens: need, WantTokens: need, Sequence: uint64(now.UnixMicro()),
+		}).GetGrantedTokens()
+	}
+	met := false
+	for step := range 400 {
+		now = now.Add(50 * time.Millisecond)
+		owner.Report(now, &EngineReport{AsOf: now, CapacityTokens: capacity})
+		ask(holders[step%len(holders)], balancer.ClassMedium, 30)
+		if step > 100 && ask("large", balancer.ClassLong, 80) > 0 {
+			met = true
+			break
+		}
+	}
+	assert.Assert(t, met)
+}
--- a/lease/owner.go
+++ b/lease/owner.go
@@ -109,6 +109,7 @@
 	}
 	o.ticked = now
 	o.drain.Advance(now, o.charged > 0)
+	o.short.observe(now, o.chargedShort, o.options.ShortHalfLife)
 	o.endLeases(now)
 	o.forgetHosts()
 }
--- a/lease/world_test.go
+++ b/lease/world_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"os"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -16,13 +17,20 @@
 const (
 	worldCapacity = 8
 	worldHosts    = 2
-	worldSteps    = "60" // of one history
+	worldSteps    = "60"   // of one history
+	worldChecks   = "2000" // histories, unless the environment says otherwise
 )
 
 func init() {
 	if err := flag.Set("rapid.steps", worldSteps); err != nil {
 		panic("lease: " + err.Error())
 	}
+	if os.Getenv("CITRON_CHECKS") != "" {
+		return
+	}
+	if err := flag.Set("rapid.checks", worldChecks); err != nil {
+		panic("lease: " + err.Error())
+	}
 }
 
 var (
--- a/reclaim/judge.go
+++ b/reclaim/judge.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/citronscale/citronscale/ident"
+	"github.com/citronscale/citronscale/upstream"
 )
 
 // Reason says why nobody waits for a piece of work.
@@ -86,6 +87,17 @@
 	Reason  Reason
 }
 
+// Attempts returns all work that a report shows, running, waiting or held.
+func Attempts(report *upstream.Report) []ident.Attempt {
+	var attempts []ident.Attempt
+	for _, group := range [][]upstream.Work{report.Running, report.Waiting, report.Held} {
+		for _, work := range group {
+			attempts = append(attempts, work.Attempt)
+		}
+	}
+	return attempts
+}
+
 // Judge returns the attempts among those on an engine that nobody waits for.
 func Judge(now time.Time, options Options, view View, attempts []ident.Attempt) []Cancel {
 	var cancels []Cancel
