--- a/code/code.go
+++ b/code/code.go
@@ -67,6 +67,7 @@
 	ConfigInvalid         Code = 1902
 	UsageInvalid          Code = 1903
 	ChartInvalid          Code = 1904
+	NoHostReachable       Code = 1905
 )
 
 // Codes of requests that may have run.
