revision: which configuration is in force, and its spread by chunks

Cause: the host took over whatever document the service offered last, so a service restored to an older number would have taken the fleet back, and hosts without the service would have learned nothing.

--- /dev/null
+++ b/revision/chunk.go
@@ -0,0 +1,108 @@
+package revision
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+
+	peerv1 "github.com/citronscale/citronscale/api/peer/v1"
+	"github.com/citronscale/citronscale/config"
+	"github.com/citronscale/citronscale/platform"
+)
+
+const (
+	linesPerChunk = 32       // mean number of lines in a chunk
+	maxChunkBytes = 16 << 10 // a longer run of lines is cut
+	maxChunks     = 1 << 16  // of one message
+)
+
+// chunk is one part of a document.
+type chunk struct {
+	digest uint64
+	data   []byte
+}
+
+// split cuts a document after lines whose digest says so. An edit changes the
+// chunks that it touches and leaves all others as they are.
+func split(document []byte) []chunk {
+	var chunks []chunk
+	start := 0
+	for position := 0; position < len(document); {
+		end := len(document)
+		if next := bytes.IndexByte(document[position:], '\n'); next >= 0 {
+			end = position + next + 1
+		}
+		line := document[position:end]
+		position = end
+		if xxhash.Sum64(line)%linesPerChunk == 0 || position-start >= maxChunkBytes || position == len(document) {
+			chunks = append(chunks, newChunk(document[start:position]))
+			start = position
+		}
+	}
+	return chunks
+}
+
+func newChunk(data []byte) chunk {
+	return chunk{digest: xxhash.Sum64(data), data: data}
+}
+
+// Request asks a peer that is ahead for the chunks that this host lacks.
+func (s *State) Request() *peerv1.FetchConfigRequest {
+	request := &peerv1.FetchConfigRequest{HaveRevision: s.current().revision}
+	for _, c := range s.chunks {
+		request.HaveChunks = append(request.HaveChunks, c.digest)
+	}
+	return request
+}
+
+// Answer returns the document in force to a peer that is behind: whole chunks
+// where the peer lacks them, otherwise their digests. It returns false if
+// nothing is in force.
+func (s *State) Answer(request *peerv1.FetchConfigRequest) (*peerv1.FetchConfigResponse, bool) {
+	if s.inForce == nil {
+		return nil, false
+	}
+	has := make(map[uint64]bool, len(request.GetHaveChunks()))
+	for _, digest := range request.GetHaveChunks() {
+		has[digest] = true
+	}
+	sum := sha256.Sum256(s.document.Data)
+	response := &peerv1.FetchConfigResponse{Revision: s.inForce.Revision, Digest: s.inForce.Digest, DocumentSha256: sum[:]}
+	for _, c := range s.chunks {
+		part := &peerv1.ConfigChunk{Digest: c.digest}
+		if !has[c.digest] {
+			part.Data = c.data
+		}
+		response.Chunks = append(response.Chunks, part)
+	}
+	return response, true
+}
+
+// Assemble puts the document of an answer together from its chunks and the ones
+// of this host. The document still has to be offered.
+func (s *State) Assemble(response *peerv1.FetchConfigResponse) (platform.Document, error) {
+	if len(response.GetChunks()) > maxChunks {
+		return platform.Document{}, fmt.Errorf("revision %d has %d chunks, limit is %d", response.GetRevision(), len(response.GetChunks()), maxChunks)
+	}
+	own := make(map[uint64][]byte, len(s.chunks))
+	for _, c := range s.chunks {
+		own[c.digest] = c.data
+	}
+	var document []byte
+	for _, part := range response.GetChunks() {
+		data := part.GetData()
+		if len(data) == 0 {
+			data = own[part.GetDigest()]
+		}
+		if len(document)+len(data) > config.MaxDocumentBytes {
+			return platform.Document{}, fmt.Errorf("revision %d exceeds %d bytes", response.GetRevision(), config.MaxDocumentBytes)
+		}
+		document = append(document, data...)
+	}
+	if sum := sha256.Sum256(document); !bytes.Equal(sum[:], response.GetDocumentSha256()) {
+		return platform.Document{}, fmt.Errorf("chunks of revision %d don't make up its document", response.GetRevision())
+	}
+	return platform.Document{Revision: response.GetRevision(), Data: document}, nil
+}
