--- a/membership/exchange.go
+++ b/membership/exchange.go
@@ -21,6 +21,9 @@
 	differing := ownBits ^ m.GetRosterDigest()
 	limit := t.options.MaxRecordBytes
 	switch {
+	case differing == 0:
+		t.agreed()
+		limit = lightRecordBytes
 	case isNew:
 		limit = t.options.MaxJoinBytes
 		differing = allBuckets
@@ -43,6 +46,9 @@
 	}
 	t.hear(now, m.GetSender())
 	t.applyAll(now, m.GetRecords())
+	if m.GetRosterDigest() == t.compareBits(m.GetSequence()) {
+		t.agreed()
+	}
 	probe, ok := t.indirect[m.GetSequence()]
 	if !ok {
 		return
@@ -53,6 +59,14 @@
 	}
 }
 
+// agreed counts an exchange with a peer that holds the same records like one
+// that passed all changes on.
+func (t *Table) agreed() {
+	for _, e := range t.order {
+		e.sends = max(e.sends-1, 0)
+	}
+}
+
 // hear handles a host's record of itself in its own message.
 func (t *Table) hear(now time.Time, r *peerv1.HostRecord) {
 	t.apply(now, r)
--- a/membership/options.go
+++ b/membership/options.go
@@ -32,7 +32,7 @@
 		IndirectProbes:  2,
 		IndirectLimit:   2,
 		LeavingFanout:   16,
-		MaxRecordBytes:  800,
+		MaxRecordBytes:  1_000,
 		MaxJoinBytes:    16_000,
 	}
 }
