--- a/membership/detect.go
+++ b/membership/detect.go
@@ -99,7 +99,6 @@
 	t.changes = append(t.changes, Change{Host: e.host, Incarnation: e.incarnation, From: e.state, To: state})
 	e.state = state
 	e.changeAt = now
-	e.sends = 0
 	if state == Suspect {
 		e.sends = t.sendLimit()
 	}
--- a/membership/fleet_test.go
+++ b/membership/fleet_test.go
@@ -87,6 +87,8 @@
 		t.applyAll(f.now, records)
 		for _, e := range t.order {
 			e.sends = 0
+			e.facts = 0
+			e.changeAt = time.Time{}
 		}
 		t.Changes()
 	}
