--- a/revision/state_test.go
+++ b/revision/state_test.go
@@ -79,6 +79,13 @@
 	f.offer(host, f.visible)
 }
 
+// readAll lets every host read the service; some answers arrive late.
+func (f *fleet) readAll() {
+	for host := range testHosts {
+		f.read(host)
+	}
+}
+
 func (f *fleet) deliverLate() {
 	if len(f.late) == 0 {
 		return
@@ -154,7 +161,8 @@
 			"publish": func(*rapid.T) { f.publish() },
 			"restore": func(*rapid.T) { f.restore() },
 			"down":    func(*rapid.T) { f.down = !f.down },
-			"read":    func(*rapid.T) { f.read(f.drawHost("reader")) },
+			"read":    func(*rapid.T) { f.readAll() },
+			"reread":  func(*rapid.T) { f.readAll() },
 			"late":    func(*rapid.T) { f.deliverLate() },
 			"pull":    func(*rapid.T) { f.pull(f.drawHost("to"), f.drawHost("from")) },
 			"pause":   func(*rapid.T) { h := f.drawHost("paused"); f.paused[h] = !f.paused[h] },
