citronctl trace: name the team, list the hosts by name

Run against a fleet of three hosts, the answers of the hosts came in the order in which they were asked, which changed from call to call, and the team stood nowhere in the table.

--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -47,8 +47,8 @@
 		{Request: request, Time: start, Kind: record.Admitted, Team: "depot"},
 	})
 	return connect.NewResponse(&operatorv1.TraceResponse{Verdict: f.verdict, Hosts: []*operatorv1.HostTrace{
-		{Host: "host-1", Answer: "found", Entries: entries},
 		{Host: "host-2", Answer: "unreachable"},
+		{Host: "host-1", Answer: "found", Entries: entries},
 	}}), err
 }
 
@@ -118,7 +118,7 @@
 		{"dump of another host", []string{"--host", ready, "dump", "host-9"}, ExitNotFound, []string{"1025 NotFound", "host-9"}},
 		{"dump of a host that may be silent", []string{"--host", ready, "--host", silent, "dump", "host-9"}, ExitUnreachable, []string{"1905"}},
 		{"trace", []string{"--host", ready, "trace", id}, ExitOK, []string{
-			"request " + id + ": ran", "host-1", "found", "host-2", "unreachable", "admitted", "1.5s", "broken", "engine-4", "2001 UpstreamLost", "reset",
+			"request " + id + " of team depot: ran", "host-1", "found", "host-2", "unreachable", "admitted", "1.5s", "broken", "engine-4", "2001 UpstreamLost", "reset",
 		}},
 		{"trace as JSON", []string{"--host", ready, "--json", "trace", id}, ExitOK, []string{`"verdict": "ran"`, `"code_name": "UpstreamLost"`}},
 		{"trace that nobody can judge", []string{"--host", leaving, "trace", id}, ExitNotFound, []string{": unknown", "is unknown; look"}},
--- a/internal/ctl/trace.go
+++ b/internal/ctl/trace.go
@@ -1,6 +1,7 @@
 package ctl
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"slices"
@@ -23,6 +24,7 @@
 // trace is what all hosts know about one request.
 type trace struct {
 	Request string         `json:"request"`
+	Team    string         `json:"team,omitempty"`
 	Verdict record.Outcome `json:"verdict"`
 	Hosts   []hostAnswer   `json:"hosts"`
 	Entries []hostEntry    `json:"entries"` // of all hosts by time
@@ -78,8 +80,10 @@
 		}
 		for i := range entries {
 			joined.Entries = append(joined.Entries, hostEntry{Host: h.GetHost(), Entry: entries[i]})
+			joined.Team = cmp.Or(joined.Team, entries[i].Team)
 		}
 	}
+	slices.SortFunc(joined.Hosts, func(a, b hostAnswer) int { return cmp.Compare(a.Host, b.Host) })
 	slices.SortStableFunc(joined.Entries, func(a, b hostEntry) int { return a.Entry.Time.Compare(b.Entry.Time) })
 	return joined, nil
 }
@@ -88,7 +92,7 @@
 	if c.app.JSON {
 		return c.app.writeJSON(found)
 	}
-	c.app.print(fmt.Sprintf("request %s: %s", found.Request, found.Verdict))
+	c.app.print(found.headline())
 	hosts := newTable("HOST", "ANSWER")
 	for _, h := range found.Hosts {
 		hosts.add(h.Host, h.Answer)
@@ -100,6 +104,14 @@
 	return c.app.writeTable(entryTable(found.Entries))
 }
 
+// headline says whether the request ran.
+func (t *trace) headline() string {
+	if t.Team == "" {
+		return fmt.Sprintf("request %s: %s", t.Request, t.Verdict)
+	}
+	return fmt.Sprintf("request %s of team %s: %s", t.Request, t.Team, t.Verdict)
+}
+
 // entryTable shows when each thing happened, and how long after the first.
 func entryTable(entries []hostEntry) *table {
 	t := newTable("TIME", "AFTER", "HOST", "EVENT", "ATTEMPT", "UPSTREAM", "CODE", "DETAIL")
