Configuration agreed between hosts: offers, pulls from peers, watchers, readiness

The daemon uses the revision package: a service restored to an older number is ignored, hosts pull what they lack from peers, two hosts of each failure domain watch the service and the others read it rarely, and a starting host is ready only once peers have answered and none is ahead.

--- a/host/agreement.go
+++ b/host/agreement.go
@@ -1,19 +1,18 @@
 package host
 
 import (
-	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
 
 	peerv1 "github.com/citronscale/citronscale/api/peer/v1"
 	"github.com/citronscale/citronscale/config"
-	"github.com/citronscale/citronscale/event"
 	"github.com/citronscale/citronscale/ident"
 	"github.com/citronscale/citronscale/membership"
 	"github.com/citronscale/citronscale/ownership"
 	"github.com/citronscale/citronscale/platform"
 	"github.com/citronscale/citronscale/reclaim"
+	"github.com/citronscale/citronscale/revision"
 	"github.com/citronscale/citronscale/upstream"
 )
 
@@ -21,22 +20,27 @@
 // force and the membership.
 type agreement struct {
 	self    ident.Host
+	domain  string
+	started time.Time
 	mu      sync.Mutex
-	inForce *config.Config
-	since   time.Time // when the configuration came into force here
+	state   *revision.State
 	table   *membership.Table
 	owners  *ownership.Map // over the ready hosts
 	failed  map[ident.Host]time.Time
+	listed  bool // the host list was read
 }
 
 func newAgreement(self membership.Self, now time.Time) *agreement {
 	seed := uint64(self.Incarnation)
 	options := membership.DefaultOptions(defaultHeartbeat, defaultSuspectTime)
 	return &agreement{
-		self:   self.Host,
-		table:  membership.New(options, self, now, rand.New(rand.NewPCG(seed, seed))),
-		owners: ownership.New(nil),
-		failed: make(map[ident.Host]time.Time),
+		self:    self.Host,
+		domain:  self.FailureDomain,
+		started: now,
+		state:   revision.NewState(),
+		table:   membership.New(options, self, now, rand.New(rand.NewPCG(seed, seed))),
+		owners:  ownership.New(nil),
+		failed:  make(map[ident.Host]time.Time),
 	}
 }
 
@@ -46,7 +50,8 @@
 func (a *agreement) config() (*config.Config, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.inForce, a.inForce != nil
+	inForce := a.state.InForce()
+	return inForce, inForce != nil
 }
 
 // revision returns the revision in force, zero if there is none.
@@ -62,10 +67,10 @@
 func (a *agreement) age(now time.Time) time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.inForce == nil {
+	if a.state.InForce() == nil {
 		return 0
 	}
-	return now.Sub(a.since)
+	return now.Sub(a.state.Since())
 }
 
 // owner returns the host that owns an engine. It is empty while this host can't
@@ -115,9 +120,12 @@
 	defer a.mu.Unlock()
 	a.table.SetState(now, state)
 	a.table.SetUsage(usage)
-	if a.inForce != nil {
-		a.table.SetConfig(a.inForce.Revision, a.inForce.Digest)
+	if inForce := a.state.InForce(); inForce != nil {
+		a.table.SetConfig(inForce.Revision, inForce.Digest)
+		fleet := inForce.Fleet()
+		a.table.SetOptions(membership.DefaultOptions(fleet.HeartbeatPeriod, fleet.SuspectTime))
 	}
+	a.state.Check(now, configSilence)
 }
 
 func (a *agreement) receive(now time.Time, m *peerv1.HeartbeatRequest) *peerv1.HeartbeatResponse {
@@ -182,6 +190,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.table.HostList(now, seeds)
+	a.listed = true
 }
 
 // reclaimView returns the membership as the reclaim package needs it.
@@ -197,25 +206,3 @@
 	}
 	return reclaim.NewView(hosts)
 }
-
-// offerConfig judges a document from the service or a peer.
-func (h *Host) offerConfig(document platform.Document) {
-	cfg, err := config.Parse(document.Revision, document.Data)
-	var faults *config.FaultList
-	if errors.As(err, &faults) {
-		h.log.Emit(event.ConfigRejected).Uint64("revision", document.Revision).Err(err).Msg("")
-		return
-	}
-	h.agreement.mu.Lock()
-	h.agreement.inForce = cfg
-	h.agreement.since = time.Now()
-	h.agreement.mu.Unlock()
-	h.log.Emit(event.ConfigAccepted).Uint64("revision", cfg.Revision).Msg("")
-	h.lifecycle.configured()
-}
-
-func (a *agreement) fetchResponse(*peerv1.FetchConfigRequest) (*peerv1.FetchConfigResponse, bool) {
-	return nil, false
-}
-
-func (h *Host) notePeerConfig(*peerv1.HostRecord) {}
--- /dev/null
+++ b/host/configuration.go
@@ -0,0 +1,140 @@
+package host
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+
+	peerv1 "github.com/citronscale/citronscale/api/peer/v1"
+	"github.com/citronscale/citronscale/event"
+	"github.com/citronscale/citronscale/ident"
+	"github.com/citronscale/citronscale/membership"
+	"github.com/citronscale/citronscale/platform"
+	"github.com/citronscale/citronscale/revision"
+)
+
+const (
+	configSilence = 90 * time.Second // without confirmation, after which a configuration counts as stale
+	fetchTimeout  = 2 * time.Second  // of one pull from a peer
+	rareRead      = 45 * time.Second // mean time between two reads of a host that doesn't watch
+)
+
+// offerConfig judges a document from the service or a peer.
+func (h *Host) offerConfig(document platform.Document, source string) {
+	decision, err := h.agreement.offer(time.Now(), document)
+	switch decision {
+	case revision.Accepted:
+		h.log.Emit(event.ConfigAccepted).Uint64("revision", document.Revision).Str("source", source).Msg("")
+	case revision.Rejected:
+		h.log.Emit(event.ConfigRejected).Uint64("revision", document.Revision).Str("source", source).Err(err).Msg("")
+	case revision.Older, revision.Conflict:
+		h.log.Emit(event.ConfigOlder).Uint64("revision", document.Revision).
+			Uint64("in_force", h.agreement.revision()).Str("source", source).Msg("")
+	}
+	h.checkReady()
+}
+
+// checkReady makes a starting host ready once it may be.
+func (h *Host) checkReady() {
+	if h.agreement.mayBeReady(time.Now()) {
+		h.lifecycle.configured()
+	}
+}
+
+// notePeerConfig compares the configuration that a peer states with the own one
+// and pulls a newer one.
+func (h *Host) notePeerConfig(peer *peerv1.HostRecord) {
+	if !h.agreement.peerAhead(time.Now(), peer) {
+		return
+	}
+	go h.fetchConfig(ident.Host(peer.GetHost()))
+}
+
+// fetchConfig pulls the configuration in force at a peer.
+func (h *Host) fetchConfig(host ident.Host) {
+	client, err := h.peer(host)
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
+	defer cancel()
+	response, err := client.FetchConfig(ctx, connect.NewRequest(h.agreement.fetchRequest()))
+	if err != nil {
+		return // the next heartbeat tries again
+	}
+	document, err := h.agreement.assemble(response.Msg)
+	if err != nil {
+		return // the own document changed meanwhile; the next heartbeat tries again
+	}
+	h.offerConfig(document, string(host))
+}
+
+// offer judges a document.
+func (a *agreement) offer(now time.Time, document platform.Document) (revision.Decision, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.state.Offer(now, document)
+}
+
+// peerAhead reports whether a peer states a newer document, and confirms the
+// own one if the peer states the same.
+func (a *agreement) peerAhead(now time.Time, peer *peerv1.HostRecord) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if peer.GetConfigRevision() == 0 {
+		return false
+	}
+	a.state.Confirm(now, peer.GetConfigRevision(), peer.GetConfigDigest())
+	return a.state.Newer(peer.GetConfigRevision(), peer.GetConfigDigest())
+}
+
+func (a *agreement) fetchRequest() *peerv1.FetchConfigRequest {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.state.Request()
+}
+
+func (a *agreement) fetchResponse(request *peerv1.FetchConfigRequest) (*peerv1.FetchConfigResponse, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.state.Answer(request)
+}
+
+func (a *agreement) assemble(response *peerv1.FetchConfigResponse) (platform.Document, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.state.Assemble(response)
+}
+
+// mayBeReady reports whether a starting host knows enough to admit requests.
+func (a *agreement) mayBeReady(now time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	start := revision.Start{Since: a.started, Listed: a.listed, Settled: a.table.Settled(now)}
+	for _, m := range a.table.Members() {
+		if m.Self || m.HeardAt.IsZero() || m.State == membership.Failed {
+			continue
+		}
+		start.Answered++
+		start.Ahead = start.Ahead || m.ConfigRevision > 0 && a.state.Newer(m.ConfigRevision, m.ConfigDigest)
+	}
+	return a.state.Ready(now, start)
+}
+
+// watches reports whether this host watches the configuration service for its
+// failure domain. A host with nothing in force always does.
+func (a *agreement) watches() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.state.InForce() == nil {
+		return true
+	}
+	var domain []ident.Host
+	for _, m := range a.table.Members() {
+		if m.FailureDomain == a.domain && m.State == membership.Ready {
+			domain = append(domain, m.Host)
+		}
+	}
+	return revision.Watches(a.self, domain)
+}
--- a/host/heartbeats.go
+++ b/host/heartbeats.go
@@ -38,6 +38,7 @@
 			go h.probe(ctx, probe, period)
 		}
 		h.noteMembers()
+		h.checkReady()
 	}
 }
 
@@ -131,7 +132,7 @@
 		addresses[member.PeerAddress] = true
 	}
 	h.peers.keep(addresses)
-	h.placement.setMembers(time.Now(), members)
+	h.placement.setMembers(members)
 }
 
 var memberEvents = map[membership.State]event.Event{
@@ -142,7 +143,7 @@
 }
 
 // setMembers hands the usage that other hosts report to the limiter.
-func (p *placement) setMembers(now time.Time, members []membership.Member) {
+func (p *placement) setMembers(members []membership.Member) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	live := 0
@@ -153,7 +154,7 @@
 		}
 		live++
 		if !member.Self {
-			p.limiter.Peers(now, member.Host, member.Usage)
+			p.limiter.Peers(member.Host, member.Usage)
 		}
 	}
 	p.limiter.SetHosts(live)
--- a/host/platform.go
+++ b/host/platform.go
@@ -71,30 +71,47 @@
 	}
 }
 
-// watchConfig waits for new revisions at the configuration service.
+// watchConfig waits for new revisions at the configuration service. Hosts that
+// don't watch for their failure domain read it rarely.
 func (h *Host) watchConfig(ctx context.Context) {
 	down := false
 	for ctx.Err() == nil {
-		known := h.agreement.revision()
-		document, err := h.platform.Read(ctx, known, watchWait)
-		if err != nil && !errors.Is(err, platform.ErrUnchanged) {
-			if !down && ctx.Err() == nil {
-				h.log.Emit(event.ConfigSourceDown).Err(err).Msg("")
-			}
-			down = true
-			pause(ctx, jitter(sourceBackoff))
-			continue
+		wait := watchWait
+		if !h.agreement.watches() {
+			pause(ctx, jitter(rareRead))
+			wait = 0
 		}
-		if down {
-			h.log.Emit(event.ConfigSourceBack).Msg("")
+		asked := time.Now()
+		document, err := h.platform.Read(ctx, h.agreement.revision(), wait)
+		failed := err != nil && !errors.Is(err, platform.ErrUnchanged)
+		if failed != down && ctx.Err() == nil {
+			h.noteSource(failed, err)
 		}
-		down = false
-		if err == nil {
-			h.offerConfig(document)
+		down = failed
+		switch {
+		case failed:
+			pause(ctx, jitter(sourceBackoff))
+		case err == nil:
+			h.offerConfig(document, sourceService)
+		case document.Revision < h.agreement.revision():
+			h.log.Emit(event.ConfigOlder).Uint64("revision", document.Revision).Uint64("in_force", h.agreement.revision()).Msg("")
+			pause(ctx, jitter(sourceBackoff))
+		case time.Since(asked) < wait/2:
+			pause(ctx, jitter(sourceBackoff)) // a service that does not wait is not asked all the time
 		}
 	}
 }
 
+const sourceService = "service"
+
+func (h *Host) noteSource(down bool, err error) {
+	if down {
+		h.log.Emit(event.ConfigSourceDown).Err(err).Msg("")
+		return
+	}
+	h.log.Emit(event.ConfigSourceBack).Msg("")
+}
+
 // pollHostList reads the host list again and again.
 func (h *Host) pollHostList(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -7,4 +7,4 @@
 trap stop_fleet EXIT
 start_fleet
 wait_ready
-bin/citronload demo
+bin/citronload demo --platform "127.0.0.1:$((FLEET_SHIFT + 9000))"
