--- a/host/admission.go
+++ b/host/admission.go
@@ -106,7 +106,8 @@
 		contents = append(contents, content)
 	}
 	if len(contents) > 0 {
-		s.registry.Crash(now, name, incarnation, contents, len(contents))
+		alone := len(contents) == 1 && s.registry.OnTrial(contents[0])
+		s.registry.Crash(now, name, incarnation, contents, alone)
 	}
 	return len(contents)
 }
--- a/strike/registry.go
+++ b/strike/registry.go
@@ -181,6 +181,11 @@
 	return true
 }
 
+// OnTrial reports whether an isolated copy of the content runs at this host.
+func (r *Registry) OnTrial(content Digest) bool {
+	return r.trials[content] > 0
+}
+
 // EndTrial reports that the copy that StartTrial admitted ended, after Crash
 // or Finished told how.
 func (r *Registry) EndTrial(content Digest) {
