--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -5,6 +5,8 @@
 FLEET_ENGINES=${FLEET_ENGINES:-4}
 FLEET_CAPACITY=${FLEET_CAPACITY:-480000}
 FLEET_CONFIG=${FLEET_CONFIG:-deploy/demo/fleet.toml}
+FLEET_SETTINGS=${FLEET_SETTINGS:-} # added to the settings of every host
+FLEET_REPORT_LAG=${FLEET_REPORT_LAG:-200ms}
 FLEET_SHIFT=${FLEET_SHIFT:-0} # added to every port
 FLEET_MODEL=citron-base
 FLEET_TEAMS="pallets returns resurfacing"
@@ -50,6 +52,8 @@
 [platform]
 config = ["127.0.0.1:$((FLEET_SHIFT + 9000))"]
 host_list = ["127.0.0.1:$((FLEET_SHIFT + 9000))"]
+
+$FLEET_SETTINGS
 TOML
 }
 
@@ -63,7 +67,7 @@
     fence=()
     [ $((i % 2)) = 0 ] && fence=(--checks-fence)
     start_process "engine-$i" bin/citronstub engine --listen 127.0.0.1:$((FLEET_SHIFT + 9100 + i)) --name "engine-$i" --model "$FLEET_MODEL" \
-      --capacity "$FLEET_CAPACITY" --weight-store 127.0.0.1:$((FLEET_SHIFT + 9000)) --seed "$i" "${fence[@]}"
+      --capacity "$FLEET_CAPACITY" --report-lag "$FLEET_REPORT_LAG" --weight-store 127.0.0.1:$((FLEET_SHIFT + 9000)) --seed "$i" "${fence[@]}"
   done
   for i in 1 2; do
     start_process "booking-$i" bin/citronstub service --listen 127.0.0.1:$((FLEET_SHIFT + 9200 + i)) --name "booking-$i"
