--- a/code/table.go
+++ b/code/table.go
@@ -43,7 +43,7 @@
 	{ConfigInvalid, "ConfigInvalid", http.StatusInternalServerError, false, "The published configuration is invalid and was rejected.", "Run citronctl config check on the document."},
 	{UsageInvalid, "UsageInvalid", http.StatusInternalServerError, false, "The command line is invalid.", "Run the command with --help."},
 	{ChartInvalid, "ChartInvalid", http.StatusInternalServerError, false, "An embedded state chart is invalid.", "Correct the chart file and rebuild."},
-	{NoHostReachable, "NoHostReachable", http.StatusServiceUnavailable, true, "None of the hosts given to citronctl answered.", "Check the addresses given with --host and the network."},
+	{NoHostReachable, "NoHostReachable", http.StatusServiceUnavailable, true, "None of the hosts given to citronctl answered.", "Check the addresses and certificates given, and the network."},
 	{UpstreamLost, "UpstreamLost", http.StatusBadGateway, false, "The connection to the upstream broke after the request was sent.", "Look up the request with citronctl trace."},
 	{DeadlineExceeded, "DeadlineExceeded", http.StatusGatewayTimeout, false, "The deadline passed while the request was with an upstream.", "Look up the request with citronctl trace."},
 	{KeyIssuerLost, "KeyIssuerLost", http.StatusServiceUnavailable, true, "The host that issued the key can't be reached; an earlier copy may have run.", "If this was the first copy, use a new key; otherwise ask the service."},
