--- a/internal/ctl/config.go
+++ b/internal/ctl/config.go
@@ -67,7 +67,7 @@
 	if c.app.JSON {
 		return c.app.writeJSON(checkResult{File: c.Args.File, Valid: true, Faults: []checkFault{}})
 	}
-	c.app.print(fmt.Sprintf("%s: valid: %d teams, %d models, %d services",
+	c.app.print(fmt.Sprintf("%s is valid; teams: %d, models: %d, services: %d",
 		c.Args.File, len(parsed.TeamNames()), len(parsed.Models), len(parsed.Services)))
 	return nil
 }
@@ -80,7 +80,7 @@
 		}
 		return c.app.writeJSON(result)
 	}
-	c.app.print(fmt.Sprintf("%d ConfigInvalid: %s has %d faults", int(code.ConfigInvalid), c.Args.File, len(list.Faults)+list.More))
+	c.app.print(fmt.Sprintf("%d ConfigInvalid: faults in %s: %d", int(code.ConfigInvalid), c.Args.File, len(list.Faults)+list.More))
 	for _, f := range list.Faults {
 		c.app.print(fmt.Sprintf("%s:%d: %s = %s: %s", c.Args.File, f.Line, f.Field, f.Value, f.Problem))
 	}
