--- /dev/null
+++ b/orders/slots.go
@@ -0,0 +1,47 @@
+package orders
+
+import (
+	"slices"
+	"time"
+
+	"github.com/citronscale/citronscale/ident"
+)
+
+// minSlot is the shortest slot, so that each host plans at least once in it.
+const minSlot = time.Second
+
+// slots divides the rate of the weight store over time and hosts.
+type slots struct {
+	length time.Duration
+	pulls  int64 // per slot
+}
+
+func newSlots(pullsPerSecond float64) slots {
+	length := max(minSlot, time.Duration(float64(time.Second)/pullsPerSecond))
+	return slots{length: length, pulls: max(1, int64(pullsPerSecond*length.Seconds()))}
+}
+
+// at returns the number and the end of the slot at the time.
+func (s slots) at(now time.Time) (number int64, end time.Time) {
+	number = now.UnixNano() / int64(s.length)
+	return number, time.Unix(0, (number+1)*int64(s.length))
+}
+
+// share returns how many pulls of a slot belong to the host. The pulls of all
+// slots go round the sorted hosts.
+func (s slots) share(number int64, self ident.Host, hosts []ident.Host) int64 {
+	sorted := slices.Clone(hosts)
+	slices.Sort(sorted)
+	sorted = slices.Compact(sorted)
+	index, ok := slices.BinarySearch(sorted, self)
+	if !ok {
+		return 0
+	}
+	count := int64(len(sorted))
+	first := number % count * (s.pulls % count) % count
+	offset := (int64(index) - first + count) % count
+	if offset >= s.pulls {
+		return 0
+	}
+	return (s.pulls-offset-1)/count + 1
+}
