membership: stateful fuzzing and focused failure tests

TestTablesConverge drives two to five tables through lost, repeated and late messages, pauses, restarts, partitions and stops; after each step no record may go back and no host may be counted as failed on evidence from before a pause, and after the faults all agree within 60 periods. TestLeavingReachesAllHosts: a leaving host gets no ownership at any of 2 to 18 hosts after 6 periods (3 s) with up to 30 % of the exchanges lost and a host list that never tells.

Found on the way: a late heartbeat set a peer's configuration revision back; the higher one of an incarnation stays now.

--- a/membership/exchange.go
+++ b/membership/exchange.go
@@ -76,10 +76,12 @@
 	}
 	e.heardAt = now
 	e.doubtAt = time.Time{}
-	e.revision = r.GetConfigRevision()
-	e.digest = r.GetConfigDigest()
 	e.usage = r.GetUsage()
 	e.wasReady = r.GetState() == Ready
+	if r.GetConfigRevision() >= e.revision {
+		e.revision = r.GetConfigRevision()
+		e.digest = r.GetConfigDigest()
+	}
 }
 
 func (t *Table) applyAll(now time.Time, records []*peerv1.HostRecord) {
@@ -150,6 +152,8 @@
 	if restarted {
 		e.heardAt = time.Time{}
 		e.usage = nil
+		e.revision = 0
+		e.digest = 0
 		e.facts = t.sendLimit()
 	}
 	e.doubtAt = time.Time{}
--- a/membership/fleet_test.go
+++ b/membership/fleet_test.go
@@ -28,10 +28,13 @@
 	names   []ident.Host
 	tables  map[ident.Host]*Table
 	down    map[ident.Host]bool
-	side    map[ident.Host]int // hosts of different sides can't reach each other
-	loss    float64            // share of exchanges that fail
-	bytes   int                // encoded size of all messages
-	sent    int                // messages
+	paused  map[ident.Host]bool
+	ranAt   map[*Table]time.Time // last tick
+	wokeAt  map[*Table]time.Time // end of the last pause
+	side    map[ident.Host]int   // hosts of different sides can't reach each other
+	loss    float64              // share of exchanges that fail
+	bytes   int                  // encoded size of all messages
+	sent    int                  // messages
 	lives   uint64
 }
 
@@ -42,6 +45,9 @@
 		now:     testStart,
 		tables:  make(map[ident.Host]*Table),
 		down:    make(map[ident.Host]bool),
+		paused:  make(map[ident.Host]bool),
+		ranAt:   make(map[*Table]time.Time),
+		wokeAt:  make(map[*Table]time.Time),
 		side:    make(map[ident.Host]int),
 	}
 }
@@ -65,6 +71,7 @@
 		list = append(list, Seed{Host: seed, PeerAddress: "10.20.30.40:7946"})
 	}
 	t.HostList(f.now, list)
+	f.ranAt[t], f.wokeAt[t] = f.now, f.now
 	if _, ok := f.tables[host]; !ok {
 		f.names = append(f.names, host)
 	}
@@ -98,12 +105,28 @@
 func (f *fleet) period() {
 	f.now = f.now.Add(f.options.Period)
 	for _, name := range f.names {
-		if !f.down[name] {
-			f.exchangeAll(name, f.tables[name].Tick(f.now))
+		if f.runs(name) {
+			f.exchangeAll(name, f.tick(name))
+			f.tables[name].Changes()
 		}
 	}
 }
 
+// tick ticks one table and notes when the process ran.
+func (f *fleet) tick(name ident.Host) []Probe {
+	f.touch(name)
+	f.ranAt[f.tables[name]] = f.now
+	return f.tables[name].Tick(f.now)
+}
+
+// touch notes that the process handles an event, maybe after a pause.
+func (f *fleet) touch(name ident.Host) {
+	t := f.tables[name]
+	if f.now.Sub(f.ranAt[t]) > f.options.PauseTime {
+		f.ranAt[t], f.wokeAt[t] = f.now, f.now
+	}
+}
+
 func (f *fleet) exchangeAll(from ident.Host, probes []Probe) {
 	for _, p := range probes {
 		f.exchange(from, p)
@@ -129,9 +152,11 @@
 
 func (f *fleet) reaches(from, to ident.Host) bool {
 	_, exists := f.tables[to]
-	return exists && !f.down[to] && f.side[from] == f.side[to] && f.rng.Float64() >= f.loss
+	return exists && f.runs(to) && f.side[from] == f.side[to] && f.rng.Float64() >= f.loss
 }
 
+func (f *fleet) runs(host ident.Host) bool { return !f.down[host] && !f.paused[host] }
+
 func (f *fleet) count(m proto.Message) {
 	f.sent++
 	f.bytes += proto.Size(m)
@@ -186,7 +211,7 @@
 
 func (f *fleet) agree() bool { return f.disagreement() == "" }
 
-// countSeeing returns how many live hosts count the host as in the state.
+// countSeeing returns how many live hosts count the host as in one of the states.
 func (f *fleet) countSeeing(host ident.Host, states ...State) int {
 	count := 0
 	for _, name := range f.names {
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -144,6 +144,9 @@
 
 // insertInRing puts a host at a random place of the list.
 func (t *Table) insertInRing(host ident.Host) {
+	if slices.Contains(t.ring, host) {
+		return
+	}
 	t.ring = slices.Insert(t.ring, t.rng.IntN(len(t.ring)+1), host)
 }
 
