--- a/internal/load/bench.go
+++ b/internal/load/bench.go
@@ -41,8 +41,10 @@
 	DirectGap   Quantiles `json:"direct_gap"`
 	ThroughGap  Quantiles `json:"through_gap"`
 	Failed      int       `json:"failed"` // requests without a whole answer
-	Relay       *Relay    `json:"relay,omitempty"`
-	Machine     Machine   `json:"machine"`
+
+	Failures []FailureSample `json:"failures,omitempty"` // the first of them
+	Relay    *Relay          `json:"relay,omitempty"`
+	Machine  Machine         `json:"machine"`
 }
 
 // Relay describes what it costs the entry hosts to relay streams.
@@ -71,11 +73,25 @@
 	if len(b.PIDs) == 0 {
 		return report, nil
 	}
-	relay, err := b.relay(ctx)
+	relay, err := b.relay(ctx, report)
 	report.Relay = relay
 	return report, err
 }
 
+// fail counts a request without a whole answer.
+func (report *BenchReport) fail(stream string, answer *Answer) {
+	report.Failed++
+	if answer == nil || len(report.Failures) >= maxFailureSamples {
+		return
+	}
+	report.Failures = append(report.Failures, FailureSample{
+		RequestID: answer.RequestID,
+		Stream:    stream,
+		Code:      answer.Code,
+		Detail:    answer.Detail,
+	})
+}
+
 // sample is one answer of the comparison.
 type sample struct {
 	answer *Answer
@@ -229,7 +245,7 @@
 	late := newHistogram()
 	for _, s := range samples {
 		if s.answer == nil || !s.whole {
-			report.Failed++
+			report.fail("comparison", s.answer)
 			continue
 		}
 		late.record(s.late)
@@ -276,7 +292,7 @@
 }
 
 // relay opens streams through the hosts and measures until all have ended.
-func (b *Bench) relay(ctx context.Context) (*Relay, error) {
+func (b *Bench) relay(ctx context.Context, report *BenchReport) (*Relay, error) {
 	before, err := b.usage()
 	if err != nil {
 		return nil, err
@@ -306,6 +322,8 @@
 		if answer.Code == code.OK {
 			relay.WholeAnswers++
 			relay.Tokens += uint64(answer.Tokens)
+		} else {
+			report.fail("relay", answer)
 		}
 	}
 	relay.OpenBytesPerStream = float64(open.resident-before.resident) / float64(b.Streams)
--- a/internal/load/benchtext.go
+++ b/internal/load/benchtext.go
@@ -31,6 +31,7 @@
 		fmt.Fprintln(w, "THE MACHINE WAS THE LIMIT: these figures don't describe the system")
 	}
 	report.writeRelay(w)
+	writeFailures(w, report.Failures)
 	return w.Flush()
 }
 
--- a/internal/load/text.go
+++ b/internal/load/text.go
@@ -15,7 +15,7 @@
 	report.writeCodes(w)
 	report.writeTeams(w)
 	report.writeUpstreams(w)
-	report.writeFailures(w)
+	writeFailures(w, report.Failures)
 	return w.Flush()
 }
 
@@ -76,12 +76,12 @@
 	}
 }
 
-func (report *Report) writeFailures(w io.Writer) {
-	if len(report.Failures) == 0 {
+func writeFailures(w io.Writer, failures []FailureSample) {
+	if len(failures) == 0 {
 		return
 	}
 	fmt.Fprintln(w, "\nfirst requests without a whole answer (code, stream, request, detail):")
-	for _, failure := range report.Failures {
+	for _, failure := range failures {
 		fmt.Fprintf(w, "%d %s %s %s\n", failure.Code, failure.Stream, failure.RequestID, failure.Detail)
 	}
 }
