--- /dev/null
+++ b/lease/lease_test.go
@@ -0,0 +1,184 @@
+package lease
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	peerv1 "github.com/citronscale/citronscale/api/peer/v1"
+	"github.com/citronscale/citronscale/balancer"
+	"github.com/citronscale/citronscale/ident"
+	_ "github.com/citronscale/citronscale/internal/testseed"
+	"github.com/citronscale/citronscale/upstream"
+)
+
+// Messages are lost, repeated, late and out of order; sends take time; hosts
+// restart; the owner pauses and changes.
+func TestUseNeverExceedsCapacity(t *testing.T) {
+	total := 0
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t, 0)
+		w.advance(5 * time.Second)
+		t.Repeat(w.actions(worldCapacity))
+		total += w.taken
+	})
+	t.Logf("%d pieces of work were admitted", total)
+	assert.Assert(t, total > 0)
+}
+
+func TestSettlingOwnerExceedsCapacityByItsShareAtMost(t *testing.T) {
+	const share = 0.25
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t, share)
+		actions := w.actions(worldCapacity * (1 + share))
+		changes := 0
+		change := actions["change owner"]
+		actions["change owner"] = func(t *rapid.T) {
+			if changes == 0 {
+				change(t)
+			}
+			changes++
+		}
+		delete(actions, "freeze owner")
+		w.advance(5 * time.Second)
+		t.Repeat(actions)
+	})
+}
+
+// freeBound is the time after the last fault in which all tokens are free: the
+// leases end, and then a report is taken and read.
+const reportPeriod = 500 * time.Millisecond
+
+func freeBound(options OwnerOptions) time.Duration {
+	return options.TTL + 2*options.MaxSkew + options.Margin + 2*reportPeriod
+}
+
+func TestAllTokensAreFreeOnceFaultsStop(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t, 0)
+		w.advance(5 * time.Second)
+		t.Repeat(w.actions(worldCapacity))
+		w.blind = true
+		w.owner.Tick(w.now)
+		w.requests = nil
+		w.work = nil
+		stopped := w.now
+		for w.now.Sub(stopped) < freeBound(w.options) {
+			w.advance(reportPeriod)
+			w.owner.Report(w.now, w.snapshot())
+		}
+		assert.Equal(t, w.owner.charged, uint64(0))
+		assert.Equal(t, w.owner.free(balancer.ClassShort), uint64(worldCapacity))
+		w.owner.Report(w.now, w.snapshot())
+		h, line := w.hosts[0], Line{"engine-0", balancer.ClassShort}
+		w.restart(h)
+		req := h.book.Request(w.now, line, worldCapacity)
+		h.book.Response(line, req.Sequence, w.owner.Handle(w.now, req))
+		assert.Equal(t, h.book.Free(w.now, line), uint64(worldCapacity))
+	})
+}
+
+// Work taken at the last moment of a lease can reach the engine Margin later.
+// Until then the owner must not lend its tokens, although an engine whose clock
+// is ahead reports that nothing is in use.
+func TestTokensAreNotLentWhileWorkIsOnItsWay(t *testing.T) {
+	options := DefaultOwnerOptions()
+	now := worldStart
+	owner := NewOwner(options, "engine-0", now)
+	report := func() {
+		owner.Report(now, &EngineReport{AsOf: now.Add(options.MaxSkew), CapacityTokens: worldCapacity})
+	}
+	for !now.After(worldStart.Add(5 * time.Second)) {
+		now = now.Add(reportPeriod)
+		report()
+	}
+	book := NewBook(DefaultBookOptions(), Holder{Host: "host-0", Incarnation: 1})
+	line := Line{"engine-0", balancer.ClassShort}
+	req := book.Request(now, line, worldCapacity)
+	book.Response(line, req.Sequence, owner.Handle(now, req))
+	var sent time.Time
+	for book.Free(now, line) > 0 {
+		sent = now
+		now = now.Add(time.Millisecond)
+		report()
+	}
+	for ; now.Before(sent.Add(options.Margin)); now = now.Add(time.Millisecond) {
+		report()
+		assert.Equal(t, owner.free(balancer.ClassShort), uint64(0), "%v after the work was sent", now.Sub(sent))
+	}
+}
+
+func TestReportOfCountsEveryPieceOfWork(t *testing.T) {
+	work := func(incarnation ident.Incarnation, tokens uint32, priority int) upstream.Work {
+		attempt := ident.Attempt{Request: ident.Request{Host: "host-1", Incarnation: incarnation}}
+		return upstream.Work{Attempt: attempt, Tokens: tokens, Priority: priority}
+	}
+	report := ReportOf(&upstream.Report{
+		Running: []upstream.Work{work(1, 10, 0)},
+		Waiting: []upstream.Work{work(1, 20, 2)},
+		Held:    []upstream.Work{work(2, 30, 0)},
+	})
+	holder := Holder{"host-1", 1}
+	assert.DeepEqual(t, report.Uses, []Use{
+		{holder, balancer.ClassShort, 10},
+		{holder, balancer.ClassLong, 20},
+		{Holder{"host-1", 2}, balancer.ClassLong, 30},
+	})
+}
+
+// Long work can't take the share of the short class while it is needed, and can
+// when it is not; a large need is met although small ones keep coming.
+func TestShortShareIsKeptAndLent(t *testing.T) {
+	options := DefaultOwnerOptions()
+	now := worldStart
+	owner := NewOwner(options, "engine-0", now)
+	const capacity = 1_000_000
+	pass := func(d time.Duration) {
+		for end := now.Add(d); now.Before(end); {
+			now = now.Add(reportPeriod)
+			owner.Report(now, &EngineReport{AsOf: now, CapacityTokens: capacity})
+		}
+	}
+	pass(5 * time.Second)
+	ask := func(host ident.Host, class balancer.Class, need uint32) uint32 {
+		return owner.Handle(now, &peerv1.LeaseRequest{
+			Host: string(host), Incarnation: 1, Class: class.Wire(),
+			NeedTokens: need, WantTokens: need, Sequence: uint64(now.UnixMicro()),
+		}).GetGrantedTokens()
+	}
+	assert.Equal(t, ask("a", balancer.ClassShort, 200_000), uint32(200_000))
+	pass(3 * time.Second)
+	assert.Equal(t, ask("b", balancer.ClassLong, 900_000), uint32(0), "the share was needed lately")
+	assert.Equal(t, ask("b", balancer.ClassLong, 800_000), uint32(800_000))
+	assert.Equal(t, ask("c", balancer.ClassShort, 150_000), uint32(150_000))
+	pass(time.Minute)
+	assert.Equal(t, ask("b", balancer.ClassLong, 960_000), uint32(0), "the floor is never lent")
+	assert.Equal(t, ask("b", balancer.ClassLong, 940_000), uint32(940_000))
+}
+
+func TestLargeNeedIsMetAlthoughSmallOnesKeepComing(t *testing.T) {
+	options := DefaultOwnerOptions()
+	now := worldStart
+	owner := NewOwner(options, "engine-0", now)
+	const capacity = 100
+	holders := []ident.Host{"a", "b", "c", "d"}
+	ask := func(host ident.Host, class balancer.Class, need uint32) uint32 {
+		return owner.Handle(now, &peerv1.LeaseRequest{
+			Host: string(host), Incarnation: 1, Class: class.Wire(),
+			NeedTokens: need, WantTokens: need, Sequence: uint64(now.UnixMicro()),
+		}).GetGrantedTokens()
+	}
+	met := false
+	for step := range 400 {
+		now = now.Add(50 * time.Millisecond)
+		owner.Report(now, &EngineReport{AsOf: now, CapacityTokens: capacity})
+		ask(holders[step%len(holders)], balancer.ClassMedium, 30)
+		if step > 100 && ask("large", balancer.ClassLong, 80) > 0 {
+			met = true
+			break
+		}
+	}
+	assert.Assert(t, met)
+}
--- a/membership/select.go
+++ b/membership/select.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/bits"
 	"slices"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -19,6 +20,8 @@
 	// factInterval is the mean number of messages until one repeats addresses
 	// and failure domains that a peer may have missed.
 	factInterval = 4
+	// recentTime is the age up to which a change is repeated first.
+	recentTime = time.Minute
 	// recordOverhead is the size of the tag and length of one record.
 	recordOverhead = 3
 	// allBuckets selects the whole roster.
@@ -78,25 +81,32 @@
 	return pending
 }
 
-// selectBuckets adds the records of the given buckets from a random place of
-// the roster on. A new host is not told of failed ones.
+// selectBuckets adds the records of the given buckets, those that changed lately
+// first, as a peer most likely lacks these. A new host is not told of failed
+// ones.
 func (t *Table) selectBuckets(s *selection, buckets uint64) {
 	if buckets == 0 || len(t.order) == 0 {
 		return
 	}
 	withFacts := buckets == allBuckets || t.rng.IntN(factInterval) == 0
 	start := t.rng.IntN(len(t.order))
-	for i := range t.order {
-		e := t.order[(start+i)%len(t.order)]
-		if buckets>>e.part&1 == 0 || e.state == Failed && buckets == allBuckets {
-			continue
-		}
-		if !s.add(e, withFacts) {
-			return
+	for _, recent := range []bool{true, false} {
+		for i := range t.order {
+			e := t.order[(start+i)%len(t.order)]
+			if buckets>>e.part&1 == 0 || e.state == Failed && buckets == allBuckets {
+				continue
+			}
+			if t.changedLately(e) == recent && !s.add(e, withFacts) {
+				return
+			}
 		}
 	}
 }
 
+func (t *Table) changedLately(e *entry) bool {
+	return t.lastTick.Sub(e.changeAt) < recentTime
+}
+
 // selection gathers records up to a size limit in bytes.
 type selection struct {
 	limit   int
