Orders to engines wired in; a rejected document is read once

The watch now asks for what is newer than the highest revision judged, and pauses after each document.

--- a/host/agreement.go
+++ b/host/agreement.go
@@ -9,6 +9,7 @@
 	"github.com/citronscale/citronscale/config"
 	"github.com/citronscale/citronscale/ident"
 	"github.com/citronscale/citronscale/membership"
+	"github.com/citronscale/citronscale/orders"
 	"github.com/citronscale/citronscale/ownership"
 	"github.com/citronscale/citronscale/platform"
 	"github.com/citronscale/citronscale/reclaim"
@@ -19,15 +20,17 @@
 // agreement holds what this host shares with the others: the configuration in
 // force and the membership.
 type agreement struct {
-	self    ident.Host
-	domain  string
-	started time.Time
-	mu      sync.Mutex
-	state   *revision.State
-	table   *membership.Table
-	owners  *ownership.Map // over the ready hosts
-	failed  map[ident.Host]time.Time
-	listed  bool // the host list was read
+	self      ident.Host
+	domain    string
+	started   time.Time
+	mu        sync.Mutex
+	state     *revision.State
+	table     *membership.Table
+	owners    *ownership.Map // over the ready hosts
+	failed    map[ident.Host]time.Time
+	listed    bool      // the host list was read
+	newest    uint64    // highest revision that a peer stated
+	resumedAt time.Time // end of the last pause of the process
 }
 
 func newAgreement(self membership.Self, now time.Time) *agreement {
@@ -156,6 +159,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.table.Resumed(now)
+	a.resumedAt = now
 	a.owners = ownership.New(nil)
 }
 
@@ -193,6 +197,30 @@
 	a.listed = true
 }
 
+// orderView returns what the orders package needs to know besides the engines.
+func (a *agreement) orderView(now time.Time) *orders.View {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	view := &orders.View{
+		Self: a.self, NewestRevision: a.newest, ConfirmedAt: a.state.ConfirmedAt(),
+		ResumedAt: a.resumedAt, Settled: a.table.Settled(now),
+	}
+	if inForce := a.state.InForce(); inForce != nil {
+		view.Revision = inForce.Revision
+	}
+	for _, m := range a.table.Members() {
+		view.Hosts = append(view.Hosts, m.Host)
+	}
+	return view
+}
+
+// known returns the highest revision that the service need not show again.
+func (a *agreement) known() uint64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.state.Known()
+}
+
 // reclaimView returns the membership as the reclaim package needs it.
 func (a *agreement) reclaimView() reclaim.View {
 	a.mu.Lock()
--- a/host/configuration.go
+++ b/host/configuration.go
@@ -85,6 +85,7 @@
 	if peer.GetConfigRevision() == 0 {
 		return false
 	}
+	a.newest = max(a.newest, peer.GetConfigRevision())
 	a.state.Confirm(now, peer.GetConfigRevision(), peer.GetConfigDigest())
 	return a.state.Newer(peer.GetConfigRevision(), peer.GetConfigDigest())
 }
--- a/host/engines.go
+++ b/host/engines.go
@@ -71,7 +71,9 @@
 func (h *Host) tendEngines(ctx context.Context) {
 	for ctx.Err() == nil {
 		started := time.Now()
-		h.readReports(ctx, h.ownedEngines(), h.tendEngine)
+		owned := h.ownedEngines()
+		h.readReports(ctx, owned, h.tendEngine)
+		h.giveOrders(ctx, owned)
 		period := max(h.fleetPolicy().ReportPeriod, ownerTick)
 		pause(ctx, period-time.Since(started))
 	}
@@ -164,7 +166,6 @@
 func (h *Host) tendEngine(ctx context.Context, engine upstream.Engine, report *upstream.Report, _ time.Time) {
 	h.placement.account(report, h.upstreamPolicy(report.Name))
 	h.reclaimWork(ctx, engine, report)
-	h.orderEngine(ctx, engine, report)
 }
 
 func (h *Host) upstreamPolicy(name upstream.Name) config.UpstreamPolicy {
--- a/host/host.go
+++ b/host/host.go
@@ -40,6 +40,7 @@
 	tls         *tlsfiles.Pair // nil without certificates
 	peers       *peerClients
 	strikes     *strikes
+	planner     *planner
 	records     *records
 	issuer      *issuer
 	listeners   []*listener
@@ -80,6 +81,7 @@
 		tls:         pair,
 		peers:       newPeerClients(clientTLS(pair), instruments),
 		strikes:     newStrikes(),
+		planner:     newPlanner(time.Now()),
 		directory:   directory.New(newClients()),
 		platform:    newPlatformReader(s.Platform),
 		records:     newRecords(s.Host.Name, incarnation, s.Record.Capacity),
--- a/host/peers.go
+++ b/host/peers.go
@@ -17,7 +17,6 @@
 	"github.com/citronscale/citronscale/ident"
 	"github.com/citronscale/citronscale/keyed"
 	"github.com/citronscale/citronscale/record"
-	"github.com/citronscale/citronscale/upstream"
 )
 
 const traceTimeout = 2 * time.Second // for one host to answer a trace
@@ -221,6 +220,3 @@
 	}
 	return &answer, nil
 }
-
-// orderEngine compares an engine with what the configuration wants.
-func (h *Host) orderEngine(context.Context, upstream.Engine, *upstream.Report) {}
--- a/host/platform.go
+++ b/host/platform.go
@@ -15,9 +15,10 @@
 )
 
 const (
-	watchWait      = 20 * time.Second // longest wait of one watch of the configuration
-	sourceBackoff  = time.Second      // mean pause after a failed read of the platform
-	hostListPeriod = 2 * time.Second  // mean time between two reads of the host list
+	watchWait      = 20 * time.Second       // longest wait of one watch of the configuration
+	sourceBackoff  = time.Second            // mean pause after a failed read of the platform
+	minReadPause   = 100 * time.Millisecond // mean pause after a document was read
+	hostListPeriod = 2 * time.Second        // mean time between two reads of the host list
 )
 
 // platformReader reads the platform at the first address that answers.
@@ -82,7 +83,8 @@
 			wait = 0
 		}
 		asked := time.Now()
-		document, err := h.platform.Read(ctx, h.agreement.revision(), wait)
+		known := h.agreement.known()
+		document, err := h.platform.Read(ctx, known, wait)
 		failed := err != nil && !errors.Is(err, platform.ErrUnchanged)
 		if failed != down && ctx.Err() == nil {
 			h.noteSource(failed, err)
@@ -93,8 +95,9 @@
 			pause(ctx, jitter(sourceBackoff))
 		case err == nil:
 			h.offerConfig(document, sourceService)
-		case document.Revision < h.agreement.revision():
-			h.log.Emit(event.ConfigOlder).Uint64("revision", document.Revision).Uint64("in_force", h.agreement.revision()).Msg("")
+			pause(ctx, jitter(minReadPause))
+		case document.Revision < known:
+			h.log.Emit(event.ConfigOlder).Uint64("revision", document.Revision).Uint64("known", known).Msg("")
 			pause(ctx, jitter(sourceBackoff))
 		case time.Since(asked) < wait/2:
 			pause(ctx, jitter(sourceBackoff)) // a service that does not wait is not asked all the time
--- a/revision/state.go
+++ b/revision/state.go
@@ -59,6 +59,12 @@
 	return s.since
 }
 
+// ConfirmedAt returns when the service or a peer last stated the document in
+// force.
+func (s *State) ConfirmedAt() time.Time {
+	return s.confirmed
+}
+
 // Chart returns the state of the configuration chart.
 func (s *State) Chart() chart.State {
 	return s.machine.State()
@@ -78,6 +84,12 @@
 	return other.after(s.current()) && other != s.rejected
 }
 
+// Known returns the highest revision that the service need not show again: the
+// one in force or a higher one that was rejected.
+func (s *State) Known() uint64 {
+	return max(s.current().revision, s.rejected.revision)
+}
+
 // Offer judges a document from the service or a peer. The error of a rejected
 // document lists its faults.
 func (s *State) Offer(now time.Time, document platform.Document) (Decision, error) {
