Balancer: count what delays a request by its class, and take turns between equals

The rest was noise: engines hold the memory of answers for long after the prompt is computed, so small differences mean nothing and followed them in a herd.

--- a/balancer/costaware.go
+++ b/balancer/costaware.go
@@ -17,17 +17,18 @@
 	AffinityBound float64 // an engine keeps its prefixes up to this multiple of the mean load
 	AffinitySlack float64 // and this share of its capacity above that
 	NearEqual     float64 // loads that differ by less than this share count as equal
+	TurnMargin    float64 // share by which another engine must be better than the one whose turn it is
 }
 
 // DefaultOptions returns the options in use unless the configuration says
 // otherwise.
 func DefaultOptions() Options {
-	return Options{Samples: 2, AffinityBound: 1.25, AffinitySlack: 0.05, NearEqual: 0.02}
+	return Options{Samples: 3, AffinityBound: 1.25, AffinitySlack: 0.05, NearEqual: 0.02, TurnMargin: 0.1}
 }
 
 // CostAware compares a few engines drawn at random and the engine that the
-// prefix of the prompt belongs to, by their load in tokens after they took the
-// request. The own failure domain wins between loads that are nearly equal.
+// prefix of the prompt belongs to, by the tokens that would delay the request
+// there. The own failure domain wins between loads that are nearly equal.
 type CostAware struct {
 	OwnDomain string
 	Options   Options
@@ -38,11 +39,12 @@
 	load     *Load
 	cached   uint64 // tokens of the prompt in its prefix cache
 	affinity bool   // the prefix of the prompt belongs to this engine
+	turn     bool   // it is the turn of this engine
 	score    float64
 }
 
-// Pick implements Picker. It scans all loads for the prefix affinity; a Set
-// makes the same decision without the scan.
+// Pick implements Picker. It scans all loads for the prefix affinity and knows
+// no turns; a Set decides without the scan.
 func (p *CostAware) Pick(_ time.Time, req *Request, loads []Load, rng *rand.Rand) []upstream.Name {
 	var candidates []candidate
 	for _, load := range sample(loads, req, p.Options.Samples, rng) {
@@ -51,7 +53,7 @@
 	if home := scanAffinity(req, loads); home != nil {
 		candidates = addCandidate(candidates, candidate{load: home, affinity: true})
 	}
-	return p.order(req, meanRatio(loads), candidates)
+	return p.order(req, meanAhead(req.Class, loads), candidates)
 }
 
 // addCandidate adds c or merges it with the candidate of the same engine.
@@ -86,17 +88,26 @@
 	overflowPenalty = 1e6
 )
 
-// score is the load of the engine after it took the request; lower is better.
+// fullWeight is how much more memory that is lacking counts than work ahead.
+const fullWeight = 4
+
+// score rates an engine for the request; lower is better. It is the work that
+// is served before it or with it, its own cost and the memory it would have to
+// wait for, as shares of the capacity.
 func (p *CostAware) score(req *Request, mean float64, c *candidate) float64 {
-	load := c.load.ratio()
 	capacity := float64(max(c.load.CapacityTokens, 1))
-	cost := float64(req.Memory() - min(c.cached, uint64(req.PromptTokens)))
-	score := load + cost/capacity
+	ahead := c.load.ByClass.ahead(req.Class) / capacity
+	cost := float64(req.Memory()-min(c.cached, uint64(req.PromptTokens))) / capacity
+	lacking := max(0, c.load.memory()+float64(req.Memory())/capacity-1)
+	score := ahead + cost + fullWeight*lacking
+	if c.turn {
+		score -= p.Options.TurnMargin
+	}
 	if req.Memory() > c.load.CapacityTokens {
 		return score + overflowPenalty
 	}
 	prefers := c.affinity || c.cached > 0
-	if prefers && load <= mean*p.Options.AffinityBound+p.Options.AffinitySlack {
+	if prefers && lacking == 0 && ahead <= mean*p.Options.AffinityBound+p.Options.AffinitySlack {
 		return score + affinityBonus*affinityWeight(req, c)
 	}
 	return score
@@ -167,15 +178,17 @@
 	return x ^ (x >> 31)
 }
 
-// meanRatio is the load of all engines as a share of their capacity.
-func meanRatio(loads []Load) float64 {
-	var used, capacity uint64
+// meanAhead is the work of all engines that delays a request of the class, as a
+// share of their capacity.
+func meanAhead(class Class, loads []Load) float64 {
+	var sums ByClass
+	var capacity uint64
 	for i := range loads {
 		if loads[i].Leaving || loads[i].Failed {
 			continue
 		}
-		used += loads[i].UsedTokens + loads[i].QueuedTokens + loads[i].UnseenTokens
+		sums.add(&loads[i].ByClass)
 		capacity += loads[i].CapacityTokens
 	}
-	return float64(used) / float64(max(capacity, 1))
+	return sums.ahead(class) / float64(max(capacity, 1))
 }
--- a/balancer/picker_test.go
+++ b/balancer/picker_test.go
@@ -64,9 +64,9 @@
 func TestCostAwarePrefersOwnDomainOnlyBetweenNearlyEqualLoads(t *testing.T) {
 	policy := &CostAware{OwnDomain: "domain-1", Options: DefaultOptions()}
 	loads := fleet(2)
-	req := &Request{PromptTokens: 1000, MaxTokens: 100}
+	req := &Request{PromptTokens: 1000, MaxTokens: 100, Class: ClassShort}
 	assert.Equal(t, policy.Pick(epoch, req, loads, newRand())[0], loads[1].Name)
-	loads[1].UsedTokens = loads[1].CapacityTokens / 10
+	loads[1].ByClass[ClassShort] = loads[1].CapacityTokens / 10
 	assert.Equal(t, policy.Pick(epoch, req, loads, newRand())[0], loads[0].Name)
 }
 
@@ -74,9 +74,9 @@
 	policy := &CostAware{Options: DefaultOptions()}
 	loads := fleet(20)
 	for i := range loads {
-		loads[i].UsedTokens = loads[i].CapacityTokens / 2
+		loads[i].ByClass[ClassMedium] = loads[i].CapacityTokens / 2
 	}
-	req := &Request{PromptTokens: 20_000, PrefixDigests: []uint64{1, 2, 3, 4, 5}}
+	req := &Request{PromptTokens: 20_000, Class: ClassMedium, PrefixDigests: []uint64{1, 2, 3, 4, 5}}
 	rng := newRand()
 	home := policy.Pick(epoch, req, loads, rng)[0]
 	other := *req
@@ -85,7 +85,7 @@
 		assert.Equal(t, policy.Pick(epoch, &other, loads, rng)[0], home)
 	}
 	at := slices.IndexFunc(loads, func(l Load) bool { return l.Name == home })
-	loads[at].QueuedTokens = loads[at].CapacityTokens / 4
+	loads[at].ByClass[ClassMedium] += loads[at].CapacityTokens / 4
 	for range 50 {
 		assert.Assert(t, policy.Pick(epoch, req, loads, rng)[0] != home)
 	}
@@ -100,6 +100,17 @@
 	assert.DeepEqual(t, picked, []upstream.Name{loads[1].Name, loads[0].Name})
 }
 
+func TestCostAwareDoesNotFleeFromLongWorkThatIsServedLater(t *testing.T) {
+	policy := &CostAware{Options: DefaultOptions()}
+	loads := fleet(2)
+	loads[0].ByClass[ClassLong] = loads[0].CapacityTokens / 4
+	loads[1].ByClass[ClassShort] = loads[1].CapacityTokens / 8
+	for class, want := range map[Class]int{ClassShort: 0, ClassLong: 1} {
+		picked := policy.Pick(epoch, &Request{PromptTokens: 2000, Class: class}, loads, newRand())
+		assert.Equal(t, picked[0], loads[want].Name, class.String())
+	}
+}
+
 func TestClassify(t *testing.T) {
 	bounds := Bounds{ShortTokens: 10, MediumTokens: 100}
 	for tokens, want := range map[uint32]Class{10: ClassShort, 11: ClassMedium, 100: ClassMedium, 101: ClassLong} {
--- a/balancer/request.go
+++ b/balancer/request.go
@@ -38,14 +38,48 @@
 	OwnTokens      uint64    // of the own work in flight
 	OwnRequests    uint32    // own requests in flight
 	UnseenTokens   uint64    // of the own work sent after the last report was taken
+	ByClass        ByClass   // running, waiting and unseen work
 	LeasedFree     uint64    // held under a lease and not in use
 	AsOf           time.Time // when the last report was taken
 	Leaving        bool
 	Failed         bool // does not answer, or is struck
 }
 
-// ratio is the load as a share of the capacity, own unreported work included.
-func (l *Load) ratio() float64 {
+// ByClass holds tokens by the class of the work they belong to.
+type ByClass [Classes + 1]uint64
+
+func (b *ByClass) add(other *ByClass) {
+	for i := range b {
+		b[i] += other[i]
+	}
+}
+
+func (b *ByClass) subtract(other *ByClass) {
+	for i := range b {
+		b[i] -= other[i]
+	}
+}
+
+// laterWeight is the part of the work of longer classes that counts for a
+// request. Engines serve by priority, so longer work delays it only by sharing
+// batches with it.
+const laterWeight = 0.1
+
+// ahead returns the tokens that delay a request of the given class.
+func (b *ByClass) ahead(class Class) float64 {
+	var sum float64
+	for c := ClassShort; c <= ClassLong; c++ {
+		if c <= class {
+			sum += float64(b[c])
+		} else {
+			sum += laterWeight * float64(b[c])
+		}
+	}
+	return sum
+}
+
+// memory is the load as a share of the capacity, own unreported work included.
+func (l *Load) memory() float64 {
 	return float64(l.UsedTokens+l.QueuedTokens+l.UnseenTokens) / float64(max(l.CapacityTokens, 1))
 }
 
--- a/balancer/set.go
+++ b/balancer/set.go
@@ -22,9 +22,10 @@
 	load          Load
 	model         string
 	hash          uint64
-	pool          *pool // nil while the engine gets no new work
-	index         int   // in pool.engines
+	pool          *pool            // nil while the engine gets no new work
+	index         [Classes + 1]int // in the rota of each class
 	unseen        []ownStart
+	reported      ByClass
 	incarnation   uint64
 	cacheSequence uint64
 	cacheEpoch    uint64
@@ -36,6 +37,7 @@
 // ownStart is own work that the last report can't hold yet.
 type ownStart struct {
 	at     time.Time
+	class  Class
 	tokens uint64
 }
 
@@ -44,12 +46,25 @@
 
 // pool holds the engines of one model that get new work.
 type pool struct {
-	engines  []*engine
+	rotas    [Classes + 1]rota // by class
 	homes    *homes
-	used     uint64 // sums over all engines
+	byClass  ByClass // sums over all engines
 	capacity uint64
 }
 
+func newPool() *pool {
+	p := &pool{homes: newHomes()}
+	for class := range p.rotas {
+		p.rotas[class].class = Class(class)
+	}
+	return p
+}
+
+// engines returns the engines of the pool in no order.
+func (p *pool) engines() []*engine {
+	return p.rotas[0].engines
+}
+
 // NewSet returns an empty set for a host in the given failure domain.
 func NewSet(ownDomain string, options Options) *Set {
 	cached, err := simplelru.NewLRU[uint64, []cachedPrefix](maxCachedDigests, nil)
@@ -126,6 +141,7 @@
 		e.load.UsedTokens = report.UsedTokens
 		e.load.QueuedTokens = waitingTokens(report)
 		e.load.AsOf = report.AsOf
+		e.reported = classesOf(report)
 		e.dropSeen()
 	})
 	e.saysLeaving = report.Leaving
@@ -137,6 +153,22 @@
 	s.place(e)
 }
 
+// classesOf sums the work that a report shows by class. Held memory belongs to
+// prompts over several engines.
+func classesOf(report *upstream.Report) ByClass {
+	var sums ByClass
+	for _, work := range report.Running {
+		sums[ClassOfPriority(work.Priority)] += uint64(work.Tokens)
+	}
+	for _, work := range report.Waiting {
+		sums[ClassOfPriority(work.Priority)] += uint64(work.Tokens)
+	}
+	for _, work := range report.Held {
+		sums[ClassLong] += uint64(work.Tokens)
+	}
+	return sums
+}
+
 func waitingTokens(report *upstream.Report) uint64 {
 	var sum uint64
 	for _, work := range report.Waiting {
@@ -145,19 +177,17 @@
 	return sum
 }
 
-// OwnerFree takes in the free tokens that the owner of the engine stated in its
+// OwnerFree takes in the free memory that the owner of the engine stated in its
 // last answer. It is newer than any report.
-func (s *Set) OwnerFree(now time.Time, name upstream.Name, free uint64) {
-	e := s.engines[name]
-	if e == nil {
-		return
-	}
-	s.update(e, func() {
+func (s *Set) OwnerFree(name upstream.Name, free uint64) {
+	if e := s.engines[name]; e != nil {
 		e.load.QueuedTokens = 0
-		e.load.UsedTokens = e.load.CapacityTokens - min(free, e.load.CapacityTokens)
-		e.load.AsOf = now
-		e.dropSeen()
-	})
+		e.load.UsedTokens = saturatingSub(e.load.CapacityTokens, free+e.load.UnseenTokens)
+	}
+}
+
+func saturatingSub(a, b uint64) uint64 {
+	return a - min(a, b)
 }
 
 // SetLeased sets the tokens that the host holds on an engine without using them.
@@ -168,7 +198,7 @@
 }
 
 // Started records that own work of the given size was sent to an engine.
-func (s *Set) Started(now time.Time, name upstream.Name, tokens uint64) {
+func (s *Set) Started(now time.Time, name upstream.Name, class Class, tokens uint64) {
 	e := s.engines[name]
 	if e == nil {
 		return
@@ -176,13 +206,11 @@
 	s.update(e, func() {
 		e.load.OwnTokens += tokens
 		e.load.OwnRequests++
-		e.load.UnseenTokens += tokens
 		if len(e.unseen) == maxUnseen {
-			e.unseen[maxUnseen-1].tokens += tokens
-			e.unseen[maxUnseen-1].at = now
-			return
+			e.unseen = e.unseen[1:]
 		}
-		e.unseen = append(e.unseen, ownStart{now, tokens})
+		e.unseen = append(e.unseen, ownStart{now, class, tokens})
+		e.dropSeen()
 	})
 }
 
@@ -196,14 +224,17 @@
 	e.load.OwnRequests--
 }
 
-// dropSeen forgets the own starts that the last report holds.
+// dropSeen forgets the own starts that the last report holds and sums up the
+// work by class.
 func (e *engine) dropSeen() {
 	kept := e.unseen[:0]
 	e.load.UnseenTokens = 0
+	e.load.ByClass = e.reported
 	for _, start := range e.unseen {
 		if start.at.After(e.load.AsOf) {
 			kept = append(kept, start)
 			e.load.UnseenTokens += start.tokens
+			e.load.ByClass[start.class] += start.tokens
 		}
 	}
 	e.unseen = kept
@@ -222,12 +253,13 @@
 	}
 	p := s.pools[e.model]
 	if p == nil {
-		p = &pool{homes: newHomes()}
+		p = newPool()
 		s.pools[e.model] = p
 	}
 	e.pool = p
-	e.index = len(p.engines)
-	p.engines = append(p.engines, e)
+	for class := range p.rotas {
+		p.rotas[class].add(e)
+	}
 	p.homes.add(e)
 	p.count(e, 1)
 }
@@ -238,13 +270,12 @@
 		return
 	}
 	p.count(e, -1)
-	last := len(p.engines) - 1
-	p.engines[e.index] = p.engines[last]
-	p.engines[e.index].index = e.index
-	p.engines = p.engines[:last]
+	for class := range p.rotas {
+		p.rotas[class].remove(e)
+	}
 	p.homes.remove(e)
 	e.pool = nil
-	if last == 0 {
+	if len(p.engines()) == 0 {
 		delete(s.pools, e.model)
 	}
 }
@@ -260,13 +291,12 @@
 
 // count adds or subtracts the load of an engine.
 func (p *pool) count(e *engine, sign int) {
-	used := e.load.UsedTokens + e.load.QueuedTokens + e.load.UnseenTokens
 	if sign < 0 {
-		p.used -= used
+		p.byClass.subtract(&e.load.ByClass)
 		p.capacity -= e.load.CapacityTokens
 		return
 	}
-	p.used += used
+	p.byClass.add(&e.load.ByClass)
 	p.capacity += e.load.CapacityTokens
 }
 
@@ -278,7 +308,7 @@
 		return nil
 	}
 	candidates := make([]candidate, 0, s.policy.Options.Samples+maxEnginesPerHash+1)
-	candidates = p.draw(candidates, req, s.policy.Options.Samples, rng)
+	candidates = p.rotas[req.Class].draw(candidates, req, s.policy.Options.Samples, rng)
 	if digest, ok := affinityDigest(req); ok {
 		if home := p.homes.lookup(digest); home.load.usable(req) {
 			candidates = addCandidate(candidates, candidate{load: &home.load, affinity: true})
@@ -288,30 +318,12 @@
 			candidates = addCandidate(candidates, candidate{load: &holder.load, cached: tokens})
 		}
 	}
-	mean := float64(p.used) / float64(max(p.capacity, 1))
-	return s.policy.order(req, mean, candidates)
-}
-
-// draw appends up to n engines drawn at random. It scans the pool only if
-// the request avoids most of it.
-func (p *pool) draw(candidates []candidate, req *Request, n int, rng *rand.Rand) []candidate {
-	for range sampleTries * n {
-		if len(candidates) == n {
-			return candidates
-		}
-		if e := p.engines[rng.IntN(len(p.engines))]; e.load.usable(req) {
-			candidates = addCandidate(candidates, candidate{load: &e.load})
-		}
-	}
-	for _, e := range p.engines {
-		if len(candidates) == n {
-			return candidates
-		}
-		if e.load.usable(req) {
-			candidates = addCandidate(candidates, candidate{load: &e.load})
-		}
+	mean := p.byClass.ahead(req.Class) / float64(max(p.capacity, 1))
+	picked := s.policy.order(req, mean, candidates)
+	if len(picked) > 0 {
+		p.rotas[req.Class].took(s.engines[picked[0]])
 	}
-	return candidates
+	return picked
 }
 
 // Load returns what is known about an engine.
@@ -328,8 +340,8 @@
 	if p == nil {
 		return nil
 	}
-	loads := make([]Load, len(p.engines))
-	for i, e := range p.engines {
+	loads := make([]Load, len(p.engines()))
+	for i, e := range p.engines() {
 		loads[i] = e.load
 	}
 	return loads
--- a/balancer/set_test.go
+++ b/balancer/set_test.go
@@ -36,8 +36,8 @@
 func TestSetCountsOwnWorkUntilAReportHoldsIt(t *testing.T) {
 	loads := fleet(1)
 	set := newTestSet(loads)
-	set.Started(epoch.Add(time.Second), loads[0].Name, 1000)
-	set.Started(epoch.Add(2*time.Second), loads[0].Name, 500)
+	set.Started(epoch.Add(time.Second), loads[0].Name, ClassShort, 1000)
+	set.Started(epoch.Add(2*time.Second), loads[0].Name, ClassLong, 500)
 	unseen := func() uint64 {
 		load, ok := set.Load(loads[0].Name)
 		assert.Assert(t, ok)
@@ -47,8 +47,11 @@
 	loads[0].AsOf = epoch.Add(time.Second)
 	set.Report(testReport(&loads[0]))
 	assert.Equal(t, unseen(), uint64(500))
-	set.OwnerFree(epoch.Add(3*time.Second), loads[0].Name, 0)
-	assert.Equal(t, unseen(), uint64(0))
+	load, _ := set.Load(loads[0].Name)
+	assert.DeepEqual(t, load.ByClass, ByClass{ClassLong: 500})
+	set.OwnerFree(loads[0].Name, 1000)
+	load, _ = set.Load(loads[0].Name)
+	assert.Equal(t, load.UsedTokens+load.UnseenTokens, load.CapacityTokens-1000)
 }
 
 func TestSetKnowsCachedPrefixesUntilEvictionOrGap(t *testing.T) {
@@ -93,11 +96,15 @@
 			},
 			"report": func(t *rapid.T) {
 				load := loads[engine.Draw(t, "engine")]
-				load.UsedTokens = rapid.Uint64Range(0, 1<<20).Draw(t, "used")
-				set.Report(testReport(&load))
+				report := testReport(&load)
+				report.Running = []upstream.Work{{
+					Tokens:   rapid.Uint32Range(0, 1<<20).Draw(t, "used"),
+					Priority: rapid.IntRange(0, 2).Draw(t, "priority"),
+				}}
+				set.Report(report)
 			},
 			"start": func(t *rapid.T) {
-				set.Started(epoch.Add(time.Second), loads[engine.Draw(t, "engine")].Name, 100)
+				set.Started(epoch.Add(time.Second), loads[engine.Draw(t, "engine")].Name, ClassShort, 100)
 			},
 			"replace": func(t *rapid.T) {
 				load := loads[engine.Draw(t, "engine")]
@@ -125,17 +132,23 @@
 	if p == nil {
 		return
 	}
-	var used, capacity uint64
-	for i, e := range p.engines {
-		assert.Equal(t, e.index, i)
-		used += e.load.UsedTokens + e.load.QueuedTokens + e.load.UnseenTokens
+	var sums ByClass
+	var capacity uint64
+	for class := range p.rotas {
+		assert.Equal(t, len(p.rotas[class].engines), len(p.engines()))
+		for i, e := range p.rotas[class].engines {
+			assert.Equal(t, e.index[class], i)
+		}
+	}
+	for _, e := range p.engines() {
+		sums.add(&e.load.ByClass)
 		capacity += e.load.CapacityTokens
 	}
-	assert.Equal(t, p.used, used)
+	assert.Equal(t, p.byClass, sums)
 	assert.Equal(t, p.capacity, capacity)
 	for slot := 0; slot < homeSlots; slot += 997 {
-		best := p.engines[0]
-		for _, e := range p.engines {
+		best := p.engines()[0]
+		for _, e := range p.engines() {
 			if mix(uint64(slot)*slotFactor^e.hash) > mix(uint64(slot)*slotFactor^best.hash) {
 				best = e
 			}
--- /dev/null
+++ b/lease/bench_test.go
@@ -0,0 +1,54 @@
+package lease
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/citronscale/citronscale/balancer"
+	"github.com/citronscale/citronscale/ident"
+)
+
+// BenchmarkTake is one local admission and its return.
+func BenchmarkTake(b *testing.B) {
+	book := NewBook(DefaultBookOptions(), Holder{"host-0", 1})
+	line := Line{"engine-0", balancer.ClassShort}
+	s := book.line(line)
+	s.limit, s.expires = 1<<20, worldStart.Add(time.Hour)
+	for b.Loop() {
+		permit, _ := book.Take(worldStart, line, 5000)
+		book.Return(permit)
+	}
+}
+
+// BenchmarkHandle is one request for a lease at its owner, with the given number
+// of holders of leases on the engine.
+func BenchmarkHandle(b *testing.B) {
+	for _, holders := range []int{16, 64, 700} {
+		b.Run(fmt.Sprintf("holders=%d", holders), func(b *testing.B) {
+			options := DefaultOwnerOptions()
+			options.TTL = time.Hour
+			now := worldStart.Add(2 * time.Hour)
+			owner := NewOwner(options, "engine-0", worldStart)
+			owner.ticked = now
+			owner.Report(now, &EngineReport{AsOf: now, CapacityTokens: 1 << 30})
+			books := make([]*Book, holders)
+			for i := range books {
+				books[i] = NewBook(DefaultBookOptions(), Holder{ident.Host(fmt.Sprintf("host-%03d", i)), 1})
+			}
+			line := Line{"engine-0", balancer.ClassShort}
+			var bytes int
+			for i := 0; b.Loop(); i++ {
+				now = now.Add(10 * time.Microsecond)
+				book := books[i%holders]
+				req := book.Request(now, line, 5000)
+				response := owner.Handle(now, req)
+				book.Response(line, req.Sequence, response)
+				bytes = proto.Size(req) + proto.Size(response)
+			}
+			b.ReportMetric(float64(bytes), "message-bytes")
+		})
+	}
+}
--- a/lease/herd_test.go
+++ b/lease/herd_test.go
@@ -53,16 +53,16 @@
 }
 
 type herdHost struct {
-	set   *balancer.Set
-	book  *Book
-	queue []*herdJob // waits for a lease
+	picker balancer.Picker // nil for the policy of the Set
+	set    *balancer.Set
+	book   *Book
+	queue  []*herdJob // waits for a lease
 }
 
 type herd struct {
 	now     time.Time
 	lag     time.Duration
 	policy  string
-	picker  balancer.Picker
 	rng     *rand.Rand
 	engines []*herdEngine
 	hosts   []*herdHost
@@ -77,9 +77,6 @@
 
 func newHerd(policy string, lag time.Duration, seed uint64) *herd {
 	h := &herd{now: worldStart, lag: lag, policy: policy, rng: rand.New(rand.NewPCG(seed, 7))}
-	if policy != herdLease && policy != "cost-aware" {
-		h.picker, _ = balancer.NewPicker(policy, "domain-0")
-	}
 	h.byName = make(map[upstream.Name]*herdEngine)
 	for i := range herdEngines {
 		e := &herdEngine{name: upstream.Name(fmt.Sprintf("engine-%02d", i))}
@@ -92,6 +89,9 @@
 	}
 	for i := range herdHosts {
 		host := &herdHost{set: balancer.NewSet(fmt.Sprintf("domain-%d", i%3), balancer.DefaultOptions())}
+		if policy != herdLease && policy != "cost-aware" {
+			host.picker, _ = balancer.NewPicker(policy, "domain-0")
+		}
 		host.book = NewBook(DefaultBookOptions(), Holder{ident.Host(fmt.Sprintf("host-%02d", i)), 1})
 		for j, e := range h.engines {
 			host.set.Put(&upstream.Info{Name: e.name, Model: "m", FailureDomain: fmt.Sprintf("domain-%d", j%3)})
@@ -138,8 +138,8 @@
 
 func (h *herd) send(host *herdHost, job *herdJob) bool {
 	var names []upstream.Name
-	if h.picker != nil {
-		names = h.picker.Pick(h.now, &job.request, host.set.Loads("m"), h.rng)
+	if host.picker != nil {
+		names = host.picker.Pick(h.now, &job.request, host.set.Loads("m"), h.rng)
 	} else {
 		names = host.set.Pick(h.now, &job.request, h.rng)
 	}
@@ -164,13 +164,13 @@
 	req := host.book.Request(h.now, line, job.request.Memory())
 	response := h.byName[line.Engine].owner.Handle(h.now, req)
 	host.book.Response(line, req.Sequence, response)
-	host.set.OwnerFree(h.now, line.Engine, uint64(response.FreeTokens))
+	host.set.OwnerFree(line.Engine, uint64(response.FreeTokens))
 	job.permit, ok = host.book.Take(h.now, line, job.request.Memory())
 	return ok
 }
 
 func (h *herd) start(host *herdHost, job *herdJob, name upstream.Name) {
-	host.set.Started(h.now, name, job.request.Memory())
+	host.set.Started(h.now, name, job.request.Class, job.request.Memory())
 	e := h.byName[name]
 	e.waiting = append(e.waiting, job)
 }
--- a/lease/owner.go
+++ b/lease/owner.go
@@ -61,6 +61,7 @@
 	newest   map[ident.Host]ident.Incarnation
 	report   EngineReport // without Uses
 	ticked   time.Time
+	swept    time.Time // when all accounts were looked at
 	settled  time.Time // from then on the account is complete
 
 	charged      uint64 // sum over all accounts
@@ -109,11 +110,19 @@
 	}
 	o.ticked = now
 	o.drain.Advance(now, o.charged > 0)
+	if now.Sub(o.swept) < sweepPeriod {
+		return
+	}
+	o.swept = now
 	o.short.observe(now, o.chargedShort, o.options.ShortHalfLife)
 	o.endLeases(now)
 	o.forgetHosts()
 }
 
+// sweepPeriod is the shortest time between two looks at all accounts. A lease
+// that is ended late stays charged meanwhile.
+const sweepPeriod = 20 * time.Millisecond
+
 func (o *Owner) endLeases(now time.Time) {
 	o.holders = 0
 	recent := now.Add(-o.options.TTL)
