--- a/lease/herd_test.go
+++ b/lease/herd_test.go
@@ -73,7 +73,16 @@
 	steps   int
 }
 
-const herdLease = "cost-aware-lease"
+// Policies besides those of the balancer package.
+const (
+	herdLease   = "cost-aware-lease"
+	herdNoShare = "cost-aware-lease-no-short-share"
+)
+
+// leases reports whether work waits at its host until a lease covers it.
+func (h *herd) leases() bool {
+	return h.policy == herdLease || h.policy == herdNoShare
+}
 
 func newHerd(policy string, lag time.Duration, seed uint64) *herd {
 	h := &herd{now: worldStart, lag: lag, policy: policy, rng: rand.New(rand.NewPCG(seed, 7))}
@@ -82,6 +91,9 @@
 		e := &herdEngine{name: upstream.Name(fmt.Sprintf("engine-%02d", i))}
 		options := DefaultOwnerOptions()
 		options.MaxReportAge = 2*lag + options.MaxReportAge
+		if policy == herdNoShare {
+			options.ShortShare, options.ShortFloor = 0, 0
+		}
 		e.owner = NewOwner(options, e.name, h.now.Add(-time.Minute))
 		e.owner.Tick(h.now)
 		h.engines = append(h.engines, e)
@@ -89,7 +101,7 @@
 	}
 	for i := range herdHosts {
 		host := &herdHost{set: balancer.NewSet(fmt.Sprintf("domain-%d", i%3), balancer.DefaultOptions())}
-		if policy != herdLease && policy != "cost-aware" {
+		if !h.leases() && policy != "cost-aware" {
 			host.picker, _ = balancer.NewPicker(policy, "domain-0")
 		}
 		host.book = NewBook(DefaultBookOptions(), Holder{ident.Host(fmt.Sprintf("host-%02d", i)), 1})
@@ -143,7 +155,7 @@
 	} else {
 		names = host.set.Pick(h.now, &job.request, h.rng)
 	}
-	if h.policy != herdLease {
+	if !h.leases() {
 		h.start(host, job, names[0])
 		return true
 	}
@@ -199,7 +211,7 @@
 			e.used -= job.request.Memory()
 			host := h.hosts[job.host]
 			host.set.Finished(e.name, job.request.Memory())
-			if h.policy == herdLease {
+			if h.leases() {
 				host.book.Return(job.permit)
 			}
 		}
@@ -255,7 +267,7 @@
 		h.arrivals(since)
 		for _, host := range h.hosts {
 			h.place(host)
-			if h.policy == herdLease && since%(250*time.Millisecond) == 0 {
+			if h.leases() && since%(250*time.Millisecond) == 0 {
 				h.renew(host)
 			}
 		}
@@ -303,7 +315,7 @@
 // token and the imbalance of the engines (largest backlog over mean). The time
 // per operation says nothing.
 func BenchmarkHerd(b *testing.B) {
-	policies := []string{"random", "round-robin", "least-in-flight", "better-of-two", "cost-aware", herdLease}
+	policies := []string{"random", "round-robin", "least-in-flight", "better-of-two", "cost-aware", herdLease, herdNoShare}
 	for _, lag := range []time.Duration{100 * time.Millisecond, time.Second, 5 * time.Second} {
 		for _, policy := range policies {
 			b.Run(fmt.Sprintf("lag=%v/%s", lag, policy), func(b *testing.B) {
