--- a/lease/herd_test.go
+++ b/lease/herd_test.go
@@ -53,16 +53,16 @@
 }
 
 type herdHost struct {
-	set   *balancer.Set
-	book  *Book
-	queue []*herdJob // waits for a lease
+	picker balancer.Picker // nil for the policy of the Set
+	set    *balancer.Set
+	book   *Book
+	queue  []*herdJob // waits for a lease
 }
 
 type herd struct {
 	now     time.Time
 	lag     time.Duration
 	policy  string
-	picker  balancer.Picker
 	rng     *rand.Rand
 	engines []*herdEngine
 	hosts   []*herdHost
@@ -73,18 +73,27 @@
 	steps   int
 }
 
-const herdLease = "cost-aware-lease"
+// Policies besides those of the balancer package.
+const (
+	herdLease   = "cost-aware-lease"
+	herdNoShare = "cost-aware-lease-no-short-share"
+)
+
+// leases reports whether work waits at its host until a lease covers it.
+func (h *herd) leases() bool {
+	return h.policy == herdLease || h.policy == herdNoShare
+}
 
 func newHerd(policy string, lag time.Duration, seed uint64) *herd {
 	h := &herd{now: worldStart, lag: lag, policy: policy, rng: rand.New(rand.NewPCG(seed, 7))}
-	if policy != herdLease && policy != "cost-aware" {
-		h.picker, _ = balancer.NewPicker(policy, "domain-0")
-	}
 	h.byName = make(map[upstream.Name]*herdEngine)
 	for i := range herdEngines {
 		e := &herdEngine{name: upstream.Name(fmt.Sprintf("engine-%02d", i))}
 		options := DefaultOwnerOptions()
 		options.MaxReportAge = 2*lag + options.MaxReportAge
+		if policy == herdNoShare {
+			options.ShortShare, options.ShortFloor = 0, 0
+		}
 		e.owner = NewOwner(options, e.name, h.now.Add(-time.Minute))
 		e.owner.Tick(h.now)
 		h.engines = append(h.engines, e)
@@ -92,6 +101,9 @@
 	}
 	for i := range herdHosts {
 		host := &herdHost{set: balancer.NewSet(fmt.Sprintf("domain-%d", i%3), balancer.DefaultOptions())}
+		if !h.leases() && policy != "cost-aware" {
+			host.picker, _ = balancer.NewPicker(policy, "domain-0")
+		}
 		host.book = NewBook(DefaultBookOptions(), Holder{ident.Host(fmt.Sprintf("host-%02d", i)), 1})
 		for j, e := range h.engines {
 			host.set.Put(&upstream.Info{Name: e.name, Model: "m", FailureDomain: fmt.Sprintf("domain-%d", j%3)})
@@ -138,12 +150,12 @@
 
 func (h *herd) send(host *herdHost, job *herdJob) bool {
 	var names []upstream.Name
-	if h.picker != nil {
-		names = h.picker.Pick(h.now, &job.request, host.set.Loads("m"), h.rng)
+	if host.picker != nil {
+		names = host.picker.Pick(h.now, &job.request, host.set.Loads("m"), h.rng)
 	} else {
 		names = host.set.Pick(h.now, &job.request, h.rng)
 	}
-	if h.policy != herdLease {
+	if !h.leases() {
 		h.start(host, job, names[0])
 		return true
 	}
@@ -164,13 +176,13 @@
 	req := host.book.Request(h.now, line, job.request.Memory())
 	response := h.byName[line.Engine].owner.Handle(h.now, req)
 	host.book.Response(line, req.Sequence, response)
-	host.set.OwnerFree(h.now, line.Engine, uint64(response.FreeTokens))
+	host.set.OwnerFree(line.Engine, uint64(response.FreeTokens))
 	job.permit, ok = host.book.Take(h.now, line, job.request.Memory())
 	return ok
 }
 
 func (h *herd) start(host *herdHost, job *herdJob, name upstream.Name) {
-	host.set.Started(h.now, name, job.request.Memory())
+	host.set.Started(h.now, name, job.request.Class, job.request.Memory())
 	e := h.byName[name]
 	e.waiting = append(e.waiting, job)
 }
@@ -199,7 +211,7 @@
 			e.used -= job.request.Memory()
 			host := h.hosts[job.host]
 			host.set.Finished(e.name, job.request.Memory())
-			if h.policy == herdLease {
+			if h.leases() {
 				host.book.Return(job.permit)
 			}
 		}
@@ -255,7 +267,7 @@
 		h.arrivals(since)
 		for _, host := range h.hosts {
 			h.place(host)
-			if h.policy == herdLease && since%(250*time.Millisecond) == 0 {
+			if h.leases() && since%(250*time.Millisecond) == 0 {
 				h.renew(host)
 			}
 		}
@@ -303,7 +315,7 @@
 // token and the imbalance of the engines (largest backlog over mean). The time
 // per operation says nothing.
 func BenchmarkHerd(b *testing.B) {
-	policies := []string{"random", "round-robin", "least-in-flight", "better-of-two", "cost-aware", herdLease}
+	policies := []string{"random", "round-robin", "least-in-flight", "better-of-two", "cost-aware", herdLease, herdNoShare}
 	for _, lag := range []time.Duration{100 * time.Millisecond, time.Second, 5 * time.Second} {
 		for _, policy := range policies {
 			b.Run(fmt.Sprintf("lag=%v/%s", lag, policy), func(b *testing.B) {
