--- a/cmd/citronload/main.go
+++ b/cmd/citronload/main.go
@@ -10,9 +10,10 @@
 
 // commands are the subcommands.
 type commands struct {
-	Run   runCommand   `command:"run" description:"Run a workload" long-description:"Example: citronload run --out out/day workloads/day.toml"`
-	Demo  demoCommand  `command:"demo" description:"Send one request of each kind and show what ran where" long-description:"Example: citronload demo"`
-	Bench benchCommand `command:"bench" description:"Compare answers through hosts with answers of the engines called directly" long-description:"Example: citronload bench --rate 100 --duration 20s"`
+	Run     runCommand     `command:"run" description:"Run a workload" long-description:"Example: citronload run --out out/day workloads/day.toml"`
+	Demo    demoCommand    `command:"demo" description:"Send one request of each kind and show what ran where" long-description:"Example: citronload demo"`
+	Compare compareCommand `command:"compare" description:"Print a table over the reports of several policies and seeds" long-description:"Example: citronload compare out/experiments/one-in-fifty-long"`
+	Bench   benchCommand   `command:"bench" description:"Compare answers through hosts with answers of the engines called directly" long-description:"Example: citronload bench --rate 100 --duration 20s"`
 }
 
 func main() {
--- a/cmd/citronload/run.go
+++ b/cmd/citronload/run.go
@@ -61,8 +61,11 @@
 	arrivals := w.Arrivals(c.Seed, c.Scale)
 	var alone []load.Result
 	if len(w.Alone) > 0 {
+		// Other prompts, so that the mixed run finds none of them in a cache.
+		runner.Prompts = ^c.Seed
 		alone = runner.Run(ctx, w.Only(arrivals, w.Alone))
 	}
+	runner.Prompts = c.Seed
 	started := time.Now()
 	clock := load.StartCPUClock()
 	mixed := runner.Run(ctx, arrivals)
@@ -96,7 +99,7 @@
 	if err := report.WriteText(file); err != nil {
 		return err
 	}
-	if err := writeJSON(filepath.Join(c.Out, "report.json"), report); err != nil {
+	if err := writeJSON(filepath.Join(c.Out, load.ReportFile), report); err != nil {
 		return err
 	}
 	_, err = load.WritePlots(c.Out, w, results)
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -6,6 +6,9 @@
 	"github.com/citronscale/citronscale/code"
 )
 
+// ReportFile is the name of the report of a run in its directory.
+const ReportFile = "report.json"
+
 // Report summarises a run.
 type Report struct {
 	Workload      string          `json:"workload"`
--- a/internal/load/runner.go
+++ b/internal/load/runner.go
@@ -23,7 +23,8 @@
 // Runner sends arrivals to entry hosts.
 type Runner struct {
 	Workload *Workload
-	Seed     uint64
+	Seed     uint64 // of the hosts that arrivals are sent to
+	Prompts  uint64 // seed of the prompts
 	Model    string
 	Teams    []Team   // in the order of Workload.TeamWeights
 	Hosts    []string // caller addresses of the entry hosts
@@ -70,7 +71,7 @@
 	stream := &r.Workload.Streams[arrival.Stream]
 	request := &Request{
 		Model:     r.Model,
-		Prompt:    r.Workload.Prompt(arrival, r.Seed),
+		Prompt:    r.Workload.Prompt(arrival, r.Prompts),
 		MaxTokens: arrival.MaxTokens,
 		Timeout:   time.Duration(stream.Timeout),
 		Token:     r.Teams[arrival.Team].Token,
