strike: suspects are spread first and run alone only after a second crash

Over real processes a killed engine cost bystanders their answers: in TestRequestsEndUnderFaults/engine_killed 34 of 45 requests were whole, 10 ended with AnswerIncomplete or UpstreamLost. Causes: - Every stream of the engine became suspect and asked for an engine of its own. isolate raised MaxTokens, from which the queue estimated a run longer than any deadline and refused it. Isolated content now polls beside the queue. - Isolation after one crash is too dear. A suspect of one crash now only avoids engines that run other suspects; one of two crashes runs alone; a crash alone convicts.

--- a/balancer/request.go
+++ b/balancer/request.go
@@ -12,6 +12,7 @@
 	Model         string
 	PromptTokens  uint32
 	MaxTokens     uint32 // largest length of the answer
+	ReserveTokens uint32 // memory asked for beyond prompt and answer
 	Class         Class
 	PrefixDigests []uint64 // as upstream.PrefixDigests computes them, shortest first
 	Team          string
@@ -19,9 +20,9 @@
 	Avoid         []upstream.Name // engines that must not be chosen
 }
 
-// Memory returns the KV memory that the request can grow to, in tokens.
+// Memory returns the KV memory that the request asks for, in tokens.
 func (r *Request) Memory() uint64 {
-	return uint64(r.PromptTokens) + uint64(r.MaxTokens)
+	return uint64(r.PromptTokens) + uint64(r.MaxTokens) + uint64(r.ReserveTokens)
 }
 
 func (r *Request) avoids(name upstream.Name) bool {
--- a/host/admission.go
+++ b/host/admission.go
@@ -106,7 +106,7 @@
 		contents = append(contents, content)
 	}
 	if len(contents) > 0 {
-		alone := len(contents) == 1 && s.registry.OnTrial(contents[0])
+		alone := len(contents) == 1 && s.registry.Isolated(contents[0])
 		s.registry.Crash(now, name, incarnation, contents, alone)
 	}
 	return len(contents)
@@ -119,11 +119,27 @@
 	s.registry.Finished(content)
 }
 
-// startTrial asks for leave to send isolated content.
-func (s *strikes) startTrial(content strike.Digest) bool {
+// startTrial asks for leave to send suspect content.
+func (s *strikes) startTrial(content strike.Digest, verdict strike.Verdict) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.registry.StartTrial(content)
+	return s.registry.StartTrial(content, verdict)
+}
+
+// suspectEngines returns the engines on which this host runs suspect content.
+func (s *strikes) suspectEngines(now time.Time) []upstream.Name {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var names []upstream.Name
+	for name, contents := range s.running {
+		for content := range contents {
+			if s.registry.Judge(now, content) != strike.Allow {
+				names = append(names, name)
+				break
+			}
+		}
+	}
+	return names
 }
 
 func (s *strikes) endTrial(content strike.Digest) {
--- a/host/attempts.go
+++ b/host/attempts.go
@@ -106,39 +106,36 @@
 }
 
 // awaitVerdict waits until the content may run: at once if nothing speaks
-// against it, alone if it is suspect. It fails if the content is refused. The
-// returned function ends a trial.
-func (h *Host) awaitVerdict(ctx context.Context, r *completionRun) (isolated bool, end func(), err error) {
+// against it, one copy at a time if it is suspect. It fails if the content is
+// refused. The returned function ends a trial.
+func (h *Host) awaitVerdict(ctx context.Context, r *completionRun) (verdict strike.Verdict, end func(), err error) {
 	for {
-		switch h.strikes.judge(time.Now(), r.content) {
+		verdict := h.strikes.judge(time.Now(), r.content)
+		switch verdict {
 		case strike.Refuse:
 			h.log.Emit(event.ContentQuarantined).Str("request", r.c.Request.String()).Str("team", r.c.Team).Msg("")
-			return false, nil, code.New(code.RequestQuarantined, "engines crashed while they ran this content")
-		case strike.Isolate:
-			if h.strikes.startTrial(r.content) {
-				return true, func() { h.strikes.endTrial(r.content) }, nil
+			return verdict, nil, code.New(code.RequestQuarantined, "engines crashed while they ran this content")
+		case strike.Spread, strike.Isolate:
+			if h.strikes.startTrial(r.content, verdict) {
+				return verdict, func() { h.strikes.endTrial(r.content) }, nil
 			}
 		default:
-			return false, func() {}, nil
+			return verdict, func() {}, nil
 		}
 		pause(ctx, trialPoll)
 		if ctx.Err() != nil {
-			return false, nil, code.New(code.NoCapacity, "the request ended while its content waited to run alone")
+			return verdict, nil, code.New(code.NoCapacity, "the request ended while its content waited for its turn")
 		}
 	}
 }
 
-// placeContent places a request once its content may run. Suspect content gets
-// an engine of its own.
+// placeContent places a request once its content may run.
 func (h *Host) placeContent(ctx context.Context, r *completionRun, request *balancer.Request) (*placed, error) {
-	isolated, endTrial, err := h.awaitVerdict(ctx, r)
+	verdict, endTrial, err := h.awaitVerdict(ctx, r)
 	if err != nil {
 		return nil, err
 	}
-	if isolated {
-		h.placement.isolate(request)
-	}
-	p, err := h.placeCompletion(ctx, request)
+	p, err := h.placeByVerdict(ctx, request, verdict)
 	if err != nil {
 		endTrial()
 		return nil, err
@@ -152,3 +149,37 @@
 	}
 	return p, nil
 }
+
+// placeByVerdict keeps suspects apart: spread content avoids engines that run
+// other suspects of this host, as long as another engine is left, and isolated
+// content gets an engine of its own.
+func (h *Host) placeByVerdict(ctx context.Context, request *balancer.Request, verdict strike.Verdict) (*placed, error) {
+	switch verdict {
+	case strike.Spread:
+		apart := *request
+		apart.Avoid = append(h.strikes.suspectEngines(time.Now()), request.Avoid...)
+		if len(h.placement.candidates(&apart)) > 0 {
+			request = &apart
+		}
+		return h.placeCompletion(ctx, request)
+	case strike.Isolate:
+		h.placement.isolate(request)
+		return h.placeAlone(ctx, request)
+	default:
+		return h.placeCompletion(ctx, request)
+	}
+}
+
+// placeAlone waits for an engine without other work. It does not queue: a
+// waiter that asks for a whole engine would hold up all behind it.
+func (h *Host) placeAlone(ctx context.Context, request *balancer.Request) (*placed, error) {
+	queueTime, _ := h.queuePolicy(request.Team)
+	end := time.Now().Add(queueTime)
+	for time.Now().Before(end) && ctx.Err() == nil {
+		if p, err := h.tryPlace(ctx, request); p != nil || err != nil {
+			return p, err
+		}
+		pause(ctx, trialPoll)
+	}
+	return nil, code.New(code.NoCapacity, "no engine was free for content that has to run alone")
+}
--- a/host/placement.go
+++ b/host/placement.go
@@ -235,7 +235,7 @@
 	}
 	whole := uint64(isolationShare * float64(smallest))
 	if whole > request.Memory() {
-		request.MaxTokens = uint32(whole) - request.PromptTokens
+		request.ReserveTokens = uint32(whole - request.Memory())
 	}
 	request.Class = balancer.ClassShort
 }
--- a/strike/doc.go
+++ b/strike/doc.go
@@ -1,18 +1,19 @@
 // Package strike finds content that crashes the engines that run it.
 //
-// When an engine crashes, everything that ran there is suspect. A suspect is
-// isolated at its next try: it runs alone on its engine, so that a second
-// crash singles out the cause. Content that crashed an engine while it ran
-// alone, after an earlier crash, is refused. Content that finishes is cleared.
-// A host that can't get an engine alone for a suspect doesn't run it.
+// When an engine crashes, everything that ran there is suspect. Suspects are
+// spread at their next try, so that no two run beside each other. Content that
+// is suspect of a second crash runs alone on its engine. If that engine crashes
+// too, the content is refused. Content that finishes is cleared.
 //
-// Bound: a host that knows of a strike sends the content only alone and one
-// copy at a time, and not at all after that copy crashed. Content that crashes
-// every engine therefore costs the fleet two engines if its copies are sent
-// one after the other, each after the strikes of the last arrived; otherwise
-// one for each copy sent by a host that knew of no strike, and at most one
-// more for each host. Other content is never refused for it, because it never
-// crashes alone, unless an engine dies by itself during its trial.
+// Bound: a host that knows of a strike sends the content one copy at a time;
+// after its copy crashed an engine it sends it alone, and after that crash not
+// at all. Content that crashes every engine costs the fleet three engines if its
+// copies are sent one after the other, each after the strikes of the last
+// arrived; otherwise one for each copy sent by a host that knew of no strike,
+// and at most two more for each host. Other content is never refused for it,
+// because it never crashes alone, unless an engine dies by itself while it runs
+// alone. Running every suspect alone would save one engine, but a plain engine
+// death would then stop all that ran there until each had an engine for itself.
 //
 // Strikes name the digest of the content, not a request: the caller may send
 // the same content again through any host. They travel between hosts with
--- a/strike/registry.go
+++ b/strike/registry.go
@@ -35,9 +35,13 @@
 	return crashDigest(hash.Sum64())
 }
 
-// crashesToConvict is the number of crashes after which content is refused, if
-// it ran alone in one of them.
-const crashesToConvict = 2
+const (
+	// crashesToIsolate is the number of crashes after which content runs alone.
+	crashesToIsolate = 2
+	// crashesToConvict is the number of crashes after which content is refused,
+	// if it ran alone in one of them.
+	crashesToConvict = 2
+)
 
 // Numbers of suspects that a strike names.
 const (
@@ -57,6 +61,7 @@
 // Verdicts.
 const (
 	Allow   Verdict = iota + 1 // no suspicion
+	Spread                     // not beside other suspects, and one copy at a time
 	Isolate                    // only alone on its engine, and one copy at a time
 	Refuse                     // not at all
 )
@@ -66,6 +71,8 @@
 	switch v {
 	case Allow:
 		return "allow"
+	case Spread:
+		return "spread"
 	case Isolate:
 		return "isolate"
 	case Refuse:
@@ -95,7 +102,7 @@
 	records   map[recordKey]*record
 	byContent map[Digest]map[crashDigest]bool
 	byCrash   map[crashDigest]map[Digest]bool
-	trials    map[Digest]int // copies of suspect content that run at this host
+	trials    map[Digest]Verdict // suspect content that this host runs, and how
 }
 
 // New returns a registry without strikes.
@@ -105,7 +112,7 @@
 		records:   make(map[recordKey]*record),
 		byContent: make(map[Digest]map[crashDigest]bool),
 		byCrash:   make(map[crashDigest]map[Digest]bool),
-		trials:    make(map[Digest]int),
+		trials:    make(map[Digest]Verdict),
 	}
 }
 
@@ -150,8 +157,10 @@
 		return Allow
 	case alone && crashes >= crashesToConvict:
 		return Refuse
-	default:
+	case alone || crashes >= crashesToIsolate:
 		return Isolate
+	default:
+		return Spread
 	}
 }
 
@@ -171,19 +180,19 @@
 	return crashes, alone
 }
 
-// StartTrial asks for leave to send isolated content. It returns false while
-// another copy of the content runs at this host.
-func (r *Registry) StartTrial(content Digest) bool {
-	if r.trials[content] > 0 {
+// StartTrial asks for leave to send suspect content as Judge said, Spread or
+// Isolate. It returns false while another copy of the content runs at this host.
+func (r *Registry) StartTrial(content Digest, verdict Verdict) bool {
+	if r.trials[content] != 0 {
 		return false
 	}
-	r.trials[content]++
+	r.trials[content] = verdict
 	return true
 }
 
-// OnTrial reports whether an isolated copy of the content runs at this host.
-func (r *Registry) OnTrial(content Digest) bool {
-	return r.trials[content] > 0
+// Isolated reports whether an isolated copy of the content runs at this host.
+func (r *Registry) Isolated(content Digest) bool {
+	return r.trials[content] == Isolate
 }
 
 // EndTrial reports that the copy that StartTrial admitted ended, after Crash
