Lease: memory held without a lease stays charged while its host asks for leases

Cause: a claim replaces what reports said about its holder and class, until a later report. Parts of large prompts are reserved without a lease and counted as long, so a host that asked for long leases often hid them: red, TestUnleasedMemoryStaysChargedUnderFrequentRequests, 3 tokens lent of 2. They now have a class of their own that no claim touches. Also: FairQueue.Pop is Peek and Serve, whose body stood twice.

--- a/lease/account.go
+++ b/lease/account.go
@@ -13,6 +13,11 @@
 	Incarnation ident.Incarnation
 }
 
+// Unleased is the class of memory that is held without a lease: parts of prompts
+// over several engines. Requests for leases say nothing about it, so every report
+// counts.
+const Unleased balancer.Class = 0
+
 // Use is the memory that the work of one holder and class occupies on an engine.
 type Use struct {
 	Holder Holder
--- a/lease/report.go
+++ b/lease/report.go
@@ -6,7 +6,7 @@
 )
 
 // ReportOf takes the part of an engine's report that an account needs. Held
-// memory belongs to prompts over several engines and counts as long.
+// memory belongs to prompts over several engines, which need no leases.
 func ReportOf(report *upstream.Report) *EngineReport {
 	r := &EngineReport{
 		AsOf:           report.AsOf,
@@ -20,7 +20,7 @@
 		r.add(work, balancer.ClassOfPriority(work.Priority))
 	}
 	for _, work := range report.Held {
-		r.add(work, balancer.ClassLong)
+		r.add(work, Unleased)
 	}
 	return r
 }
--- a/limit/fairqueue.go
+++ b/limit/fairqueue.go
@@ -160,14 +160,8 @@
 	if class == 0 {
 		return Item{}, false
 	}
-	queue := &q.classes[class]
-	item := queue.heap[0]
-	q.advance(now)
-	queue.virtual = max(queue.virtual, item.start)
-	q.countStreak(item)
-	q.remove(item)
-	q.drain.Add(float64(item.Tokens))
-	return *item, true
+	item := *q.classes[class].heap[0]
+	return item, q.Serve(now, item.ID)
 }
 
 // Peek returns the item that Pop would take.
