Lease: show the settling rule for claims red, and name the windows without lease

Red without the rule (a claim is renewed against reported use while the account settles): TestSettlingOwnerDoesNotRenewAgainstAnOldReport, tokens that the second holder uses were lent again.

--- a/lease/doc.go
+++ b/lease/doc.go
@@ -35,7 +35,7 @@
 // most SettleShare of the free tokens while a new owner settles; while two
 // hosts take themselves for the owner of one engine, until one report after
 // they agree again; and by work that reaches the engine more than Margin after
-// Book.Take. The engine's own admission then queues or refuses the excess.
+// Book.Take, or without a lease, until a report shows it. The engine's own admission then queues or refuses the excess.
 //
 // All clocks may differ from the owner's by MaxSkew. A holder whose clock is
 // further off gets no lease, and Owner.RefusedAsMisdated counts its requests. The
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -210,3 +210,43 @@
 	}
 	assert.Assert(t, met)
 }
+
+// A new owner reads a report from before its predecessor lent the tokens of one
+// holder to another, and then gets a late request of the first to renew.
+func TestSettlingOwnerDoesNotRenewAgainstAnOldReport(t *testing.T) {
+	options := DefaultOwnerOptions()
+	options.SettleShare = 0
+	line := Line{"engine-0", balancer.ClassShort}
+	first := Holder{"host-a", 1}
+	a, b := NewBook(DefaultBookOptions(), first), NewBook(DefaultBookOptions(), Holder{"host-b", 1})
+	at := func(ms int) time.Time { return worldStart.Add(time.Minute + time.Duration(ms)*time.Millisecond) }
+	report := func(owner *Owner, ms, asOf int, uses ...Use) {
+		owner.Report(at(ms), &EngineReport{AsOf: at(asOf), CapacityTokens: worldCapacity, Uses: uses})
+	}
+	former := NewOwner(options, line.Engine, worldStart)
+	former.ticked = at(0)
+	report(former, 0, -1)
+	lend := func(book *Book, ms int) {
+		req := book.Request(at(ms), line, worldCapacity)
+		book.Response(line, req.Sequence, former.Handle(at(ms), req))
+	}
+	lend(a, 0)
+	permit, ok := a.Take(at(100), line, worldCapacity)
+	assert.Assert(t, ok)
+	inUse := Use{first, balancer.ClassShort, worldCapacity} // reported as of 200 ms
+	a.Return(permit)
+	late := a.Request(at(1400), line, 0)
+	assert.Equal(t, late.HeldTokens, uint32(worldCapacity))
+	for ms := 200; ms <= 2300; ms += 100 {
+		report(former, ms, ms)
+	}
+	lend(b, 2310)
+	_, ok = b.Take(at(2310), line, worldCapacity)
+	assert.Assert(t, ok, "the lease of the first holder has ended")
+
+	owner := NewOwner(options, line.Engine, at(2320))
+	report(owner, 2330, 200, inUse)
+	a.Response(line, late.Sequence, owner.Handle(at(2400), late))
+	_, ok = a.Take(at(2500), line, 1)
+	assert.Assert(t, !ok, "tokens that the second holder uses were lent again")
+}
