Balancer: drop the leased tokens of a load, which no policy reads

Ruled out: to prefer an engine with a lease between nearly equal loads. Turns keep the short requests even; a preference would undo them for the sake of one message.

--- a/balancer/request.go
+++ b/balancer/request.go
@@ -39,7 +39,6 @@
 	OwnRequests    uint32    // own requests in flight
 	UnseenTokens   uint64    // of the own work sent after the last report was taken
 	ByClass        ByClass   // running, waiting and unseen work
-	LeasedFree     uint64    // held under a lease and not in use
 	AsOf           time.Time // when the last report was taken
 	Leaving        bool
 	Failed         bool // does not answer, or is struck
--- a/balancer/set.go
+++ b/balancer/set.go
@@ -190,13 +190,6 @@
 	return a - min(a, b)
 }
 
-// SetLeased sets the tokens that the host holds on an engine without using them.
-func (s *Set) SetLeased(name upstream.Name, tokens uint64) {
-	if e := s.engines[name]; e != nil {
-		e.load.LeasedFree = tokens
-	}
-}
-
 // Started records that own work of the given size was sent to an engine.
 func (s *Set) Started(now time.Time, name upstream.Name, class Class, tokens uint64) {
 	e := s.engines[name]
