enginehttp: a retry uses a connection of its own

Red first: TestRetryUsesFreshConnection failed with 'the engine did not accept the request in time' while retries still took kept connections; green with it.

--- a/upstream/enginehttp/doc.go
+++ b/upstream/enginehttp/doc.go
@@ -7,5 +7,6 @@
 //
 // Connections are kept alive and reused, but not after a call to the same
 // engine was sent and failed: for as long as idle connections live, the next
-// calls then use connections of their own, since the others can be dead too.
+// calls then use connections of their own, since the others can be dead too. A
+// retry, which is an attempt with a number above one, always does.
 package enginehttp
--- a/upstream/enginehttp/engine.go
+++ b/upstream/enginehttp/engine.go
@@ -83,7 +83,7 @@
 // Generate implements upstream.Engine.
 func (e *engine) Generate(ctx context.Context, req *upstream.GenerateRequest) (upstream.Stream, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	body, err := e.send(ctx, cancel, http.MethodPost, enginewire.PathGenerate, enginewire.NewGenerate(req))
+	body, err := e.send(ctx, cancel, e.transportOf(req.Attempt), http.MethodPost, enginewire.PathGenerate, enginewire.NewGenerate(req))
 	if err != nil {
 		cancel()
 		return nil, err
@@ -95,7 +95,7 @@
 func (e *engine) call(ctx context.Context, method, path string, message, answer any) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	reader, err := e.send(ctx, cancel, method, path, message)
+	reader, err := e.send(ctx, cancel, e.transport(), method, path, message)
 	if err != nil {
 		return err
 	}
--- a/upstream/enginehttp/engine_test.go
+++ b/upstream/enginehttp/engine_test.go
@@ -232,25 +232,38 @@
 	}
 }
 
-// After a call failed on a silent connection, the next calls must not use
-// other connections that were open at the time.
-func TestSilentConnectionsAreNotUsedAgain(t *testing.T) {
-	f := start(t, newClient(t, enginehttp.Options{AcceptTimeout: 50 * time.Millisecond}), fastOptions("engine-1"))
-	const connections = 4
+// openConnections leaves kept connections to the engine.
+func (f *fixture) openConnections(t *testing.T, connections int) {
+	t.Helper()
 	var streams []upstream.Stream
 	for i := range uint64(connections) {
 		stream, err := f.engine.Generate(t.Context(), newRequest(100+i, "a", 16))
 		assert.NilError(t, err)
 		streams = append(streams, stream)
 	}
-	for _, stream := range streams {
-		for frame := (upstream.Frame{}); !frame.Done; {
-			var err error
-			frame, err = stream.Next()
-			assert.NilError(t, err)
-		}
-		assert.NilError(t, stream.Close())
+	for i, stream := range streams {
+		readAll(t, stream, newAttempt(100+uint64(i)), 0)
 	}
+}
+
+// A retry must not meet another connection that went silent with the first.
+func TestRetryUsesFreshConnection(t *testing.T) {
+	f := start(t, newClient(t, enginehttp.Options{AcceptTimeout: 50 * time.Millisecond}), fastOptions("engine-1"))
+	f.openConnections(t, 4)
+	f.stub.Gate.MuteConnections()
+	req := newRequest(1, "a", 16)
+	req.Attempt.Number = 2
+	stream, err := f.engine.Generate(t.Context(), req)
+	assert.NilError(t, err)
+	readAll(t, stream, req.Attempt, 0)
+}
+
+// After a call failed on a silent connection, the next calls must not use
+// other connections that were open at the time.
+func TestSilentConnectionsAreNotUsedAgain(t *testing.T) {
+	f := start(t, newClient(t, enginehttp.Options{AcceptTimeout: 50 * time.Millisecond}), fastOptions("engine-1"))
+	const connections = 4
+	f.openConnections(t, connections)
 	f.stub.Gate.MuteConnections()
 	_, err := f.engine.Report(t.Context())
 	wantError(t, err, upstream.SentSome, "")
--- a/upstream/enginehttp/send.go
+++ b/upstream/enginehttp/send.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"time"
 
+	"github.com/citronscale/citronscale/ident"
 	"github.com/citronscale/citronscale/internal/sentconn"
 	"github.com/citronscale/citronscale/upstream"
 	"github.com/citronscale/citronscale/upstream/enginewire"
@@ -23,7 +24,7 @@
 // send sends one request and returns the body of the answer once its
 // status is 200.
 // cancel ends ctx; send calls it if the engine does not answer in time.
-func (e *engine) send(ctx context.Context, cancel context.CancelFunc, method, path string, message any) (io.ReadCloser, error) {
+func (e *engine) send(ctx context.Context, cancel context.CancelFunc, transport *http.Transport, method, path string, message any) (io.ReadCloser, error) {
 	body, err := encode(message)
 	if err != nil {
 		return nil, &upstream.Error{Upstream: e.name, Sent: upstream.SentNothing, Err: err}
@@ -34,7 +35,7 @@
 		return nil, &upstream.Error{Upstream: e.name, Sent: upstream.SentNothing, Err: err}
 	}
 	timer := time.AfterFunc(e.client.options.AcceptTimeout, cancel)
-	resp, err := e.transport().RoundTrip(req)
+	resp, err := transport.RoundTrip(req)
 	late := !timer.Stop()
 	if err != nil {
 		return nil, e.failed(watch, late, err)
@@ -78,6 +79,16 @@
 	return req, nil
 }
 
+// transportOf chooses for an attempt. A retry gets a connection of its own: the
+// attempt before it can have failed because connections went silent, and kept
+// ones to this engine can be silent as well.
+func (e *engine) transportOf(attempt ident.Attempt) *http.Transport {
+	if attempt.Number > 1 {
+		return e.client.fresh
+	}
+	return e.transport()
+}
+
 // transport chooses between kept connections and one of its own.
 func (e *engine) transport() *http.Transport {
 	if time.Now().UnixNano() < e.freshUntil.Load() {
