Metrics: serve the levels and the time between tokens

The instruments for levels existed, but no host named itself as their source, so /metrics had no line of requests and tokens in flight, revision and its age, buffers, peers and upstreams. The time between tokens was never recorded.

The host now registers itself once when it is made, and each delivery to the caller records the gap since the one before, divided by its tokens. States without a peer count as zero.

--- a/host/completion.go
+++ b/host/completion.go
@@ -50,6 +50,7 @@
 	started bool      // the current attempt sent a frame
 	sentAt  time.Time // of the current attempt
 	firstAt time.Time // first frame of the current attempt
+	tokenAt time.Time // newest delivery to the caller
 }
 
 // runEvent is what another goroutine tells the goroutine of the request.
@@ -205,11 +206,21 @@
 
 // deliver hands text to the caller. A caller that is gone ends the request.
 func (r *completionRun) deliver(a attempt.Deliver) {
+	r.measureGap(time.Now(), a.Tokens)
 	if err := r.sink.Deliver(a.Text, a.Tokens); err != nil {
 		r.apply(r.machine.CallerGone(time.Now()))
 	}
 }
 
+// measureGap records the time since the last delivery for each token of this
+// one.
+func (r *completionRun) measureGap(now time.Time, tokens uint32) {
+	if !r.tokenAt.IsZero() && tokens > 0 {
+		r.host.metrics.NextToken(r.place.Class.Wire(), now.Sub(r.tokenAt)/time.Duration(tokens))
+	}
+	r.tokenAt = now
+}
+
 // tell sends an event to the goroutine of the request unless it has ended.
 func (r *completionRun) tell(work context.Context, e runEvent) bool {
 	select {
--- a/host/host.go
+++ b/host/host.go
@@ -85,6 +85,9 @@
 		records:     newRecords(s.Host.Name, incarnation, s.Record.Capacity),
 		issuer:      newIssuer(s.Host.Name, incarnation, keyLifetime),
 	}
+	if err := instruments.Observe(h.levels); err != nil {
+		return nil, err
+	}
 	return h, nil
 }
 
--- /dev/null
+++ b/host/levels.go
@@ -0,0 +1,46 @@
+package host
+
+import (
+	"time"
+
+	"github.com/citronscale/citronscale/membership"
+	"github.com/citronscale/citronscale/metrics"
+)
+
+// levels returns the figures of this moment for a scrape of the metrics.
+func (h *Host) levels() metrics.Levels {
+	requests, tokens := h.lifecycle.inFlight()
+	known, up := h.countUpstreams()
+	return metrics.Levels{
+		RequestsInFlight: requests,
+		TokensInFlight:   tokens,
+		ConfigRevision:   h.agreement.revision(),
+		ConfigAge:        h.agreement.age(time.Now()),
+		BufferUsed:       h.pool.Used(),
+		BufferLimit:      h.pool.Limit(),
+		Peers:            countPeers(h.agreement.members()),
+		UpstreamsUp:      up,
+		UpstreamsKnown:   known,
+	}
+}
+
+// peerStates are the states that peers are counted by.
+var peerStates = []membership.State{
+	membership.Starting, membership.Ready, membership.Leaving, membership.Suspect, membership.Failed,
+}
+
+// countPeers counts the other hosts by state. A state without hosts counts as
+// zero, so that a figure never stands still after its last host.
+func countPeers(members []membership.Member) []metrics.PeerCount {
+	counts := make(map[membership.State]int, len(peerStates))
+	for _, m := range members {
+		if !m.Self {
+			counts[m.State]++
+		}
+	}
+	peers := make([]metrics.PeerCount, 0, len(peerStates))
+	for _, state := range peerStates {
+		peers = append(peers, metrics.PeerCount{State: state, Count: counts[state]})
+	}
+	return peers
+}
