--- a/host/gang.go
+++ b/host/gang.go
@@ -75,7 +75,7 @@
 	defer p.mu.Unlock()
 	now := time.Now()
 	for _, part := range plan.Parts {
-		p.set.Started(now, part.Member, uint64(part.Reserve))
+		p.set.Started(now, part.Member, balancer.ClassLong, uint64(part.Reserve))
 	}
 	release := sync.OnceFunc(func() {
 		p.mu.Lock()
--- a/host/leases.go
+++ b/host/leases.go
@@ -64,7 +64,7 @@
 	}
 	p.book.Response(line, sequence, response)
 	if !response.GetNotOwner() && !response.GetLeaving() {
-		p.set.OwnerFree(time.Now(), line.Engine, uint64(response.GetFreeTokens()))
+		p.set.OwnerFree(line.Engine, uint64(response.GetFreeTokens()))
 	}
 }
 
--- a/host/placement.go
+++ b/host/placement.go
@@ -116,7 +116,7 @@
 // admit counts work that was given a permit. The caller holds the lock.
 func (p *placement) admit(now time.Time, request *balancer.Request, permit lease.Permit) *placed {
 	name := permit.Line.Engine
-	p.set.Started(now, name, request.Memory())
+	p.set.Started(now, name, request.Class, request.Memory())
 	release := sync.OnceFunc(func() {
 		p.mu.Lock()
 		p.set.Finished(name, permit.Tokens)
