Published fields take effect: retries, keys, strikes, leases, calls

Five fields of the configuration were read by nothing: retry_ratio, lease_quantum_tokens, key_lifetime_ms (a constant hour in place of ten minutes), strike_lifetime_ms and call_timeout_ms. lease_ttl_ms and short_share held only for accounts that were opened after a change.

A host now hands the values to the parts that keep a copy each time it accepts a revision, one change after the other. A call of a plain service ends after call_timeout_ms with 2006, may have run.

Idempotency keys carry their expiry in place of the time of issue. Otherwise a longer lifetime would revive a key whose use is forgotten, and its call could run twice. A change holds for keys issued later.

The default of lease_quantum_tokens is now 1048576, which is the bound that was in use and measured; 32768 was never in force.

strike_limit is removed. Package strike refuses content after two crashes, in one of which it ran alone; its tests hold for this rule only. With a limit of 1 innocent content that ran beside the cause would be refused. Such a document is now rejected with the unknown field named.

Not covered: if lease_ttl_ms is lowered, an account that changes its owner within the old time to live can count leases of the former owner as ended too early; the engine's own admission is the limit then.

--- a/config/field.go
+++ b/config/field.go
@@ -77,7 +77,6 @@
 	fieldSuspectTime
 	fieldLeavingGrace
 	fieldKeyLifetime
-	fieldStrikeLimit
 	fieldStrikeLifetime
 	fieldWeightPulls
 	fieldCount
@@ -104,13 +103,12 @@
 	fieldProgressTimeout: {"progress_timeout_ms", kindInteger, 50, maxIntervalMS, 10_000, scopeModel},
 	fieldCallTimeout:     {"call_timeout_ms", kindInteger, 50, maxIntervalMS, 30_000, scopeService},
 	fieldLeaseTTL:        {"lease_ttl_ms", kindInteger, 100, 60_000, 2_000, ""},
-	fieldLeaseQuantum:    {"lease_quantum_tokens", kindInteger, 1, maxTokens, 32_768, ""},
+	fieldLeaseQuantum:    {"lease_quantum_tokens", kindInteger, 1, maxTokens, 1_048_576, ""},
 	fieldReportPeriod:    {"report_period_ms", kindInteger, 20, 10_000, 250, ""},
 	fieldHeartbeatPeriod: {"heartbeat_period_ms", kindInteger, 50, 2_000, 500, ""},
 	fieldSuspectTime:     {"suspect_time_ms", kindInteger, 100, 60_000, 3_000, ""},
 	fieldLeavingGrace:    {"leaving_grace_ms", kindInteger, 0, 60_000, 3_000, ""},
 	fieldKeyLifetime:     {"key_lifetime_ms", kindInteger, 1_000, maxIntervalMS, 600_000, ""},
-	fieldStrikeLimit:     {"strike_limit", kindInteger, 1, 100, 2, ""},
 	fieldStrikeLifetime:  {"strike_lifetime_ms", kindInteger, 1_000, maxIntervalMS, 3_600_000, ""},
 	fieldWeightPulls:     {"weight_pulls_per_second", kindRatio, 0.001, 10_000, 1, ""},
 }
--- a/config/policy.go
+++ b/config/policy.go
@@ -16,7 +16,6 @@
 	SuspectTime     time.Duration // a suspect host counts as failed after this time
 	LeavingGrace    time.Duration // a leaving host still admits for this time
 	KeyLifetime     time.Duration // an idempotency key can be used for this time
-	StrikeLimit     int           // crashes after which content is refused
 	StrikeLifetime  time.Duration // a strike is forgotten after this time
 	WeightPulls     float64       // weight store pulls per second of the whole fleet
 }
@@ -60,7 +59,6 @@
 		SuspectTime:     v.duration(fieldSuspectTime),
 		LeavingGrace:    v.duration(fieldLeavingGrace),
 		KeyLifetime:     v.duration(fieldKeyLifetime),
-		StrikeLimit:     int(v[fieldStrikeLimit]),
 		StrikeLifetime:  v.duration(fieldStrikeLifetime),
 		WeightPulls:     v[fieldWeightPulls],
 	}
--- a/host/configuration.go
+++ b/host/configuration.go
@@ -25,6 +25,7 @@
 	decision, err := h.agreement.offer(time.Now(), document)
 	switch decision {
 	case revision.Accepted:
+		h.applyPolicy()
 		h.log.Emit(event.ConfigAccepted).Uint64("revision", document.Revision).Str("source", source).Msg("")
 	case revision.Rejected:
 		h.log.Emit(event.ConfigRejected).Uint64("revision", document.Revision).Str("source", source).Err(err).Msg("")
--- a/host/host.go
+++ b/host/host.go
@@ -43,6 +43,7 @@
 	planner     *planner
 	records     *records
 	issuer      *issuer
+	policy      policyGate
 	listeners   []*listener
 }
 
@@ -85,7 +86,7 @@
 		directory:   directory.New(newClients()),
 		platform:    newPlatformReader(s.Platform),
 		records:     newRecords(s.Host.Name, incarnation, s.Record.Capacity),
-		issuer:      newIssuer(s.Host.Name, incarnation, keyLifetime),
+		issuer:      newIssuer(s.Host.Name, incarnation, firstKeyLifetime),
 	}
 	if err := instruments.Observe(h.levels); err != nil {
 		return nil, err
--- a/host/keyed.go
+++ b/host/keyed.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"errors"
 	"sync"
 	"time"
 
@@ -21,7 +22,7 @@
 	maxUsedTeamKeys  = 100_000
 	maxOutcomeBytes  = 32 << 20
 	maxOutcomeAnswer = 1 << 20
-	keyLifetime      = time.Hour
+	firstKeyLifetime = 10 * time.Minute // until a configuration is in force; no key is issued before
 )
 
 // issuer guards the idempotency keys of this incarnation.
@@ -41,6 +42,13 @@
 	})}
 }
 
+// setLifetime changes the lifetime of the keys issued from now on.
+func (i *issuer) setLifetime(lifetime time.Duration) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.keys.SetLifetime(lifetime)
+}
+
 func (i *issuer) issue(now time.Time, team string, n int) ([]string, error) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -246,12 +254,13 @@
 	if !ok {
 		return nil, &upstream.Error{Upstream: name, Sent: upstream.SentNothing, Err: errNotListed}
 	}
-	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
+	deadline := h.callDeadline(time.Now(), call)
+	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	defer h.directory.Begin(name)()
 	h.records.add(record.Entry{Request: call.Request, Kind: record.Sending, Attempt: number, Team: call.Team, Upstream: name})
 	response, err := service.Call(ctx, &upstream.CallRequest{
-		Attempt: ident.Attempt{Request: call.Request, Number: number, Deadline: call.Deadline.Truncate(time.Millisecond)},
+		Attempt: ident.Attempt{Request: call.Request, Number: number, Deadline: deadline.Truncate(time.Millisecond)},
 		Method:  call.Method, Path: call.Path, Header: serviceHeader(call), Body: call.Body,
 	})
 	if err != nil {
@@ -262,6 +271,20 @@
 	return &gateway.ServiceAnswer{Status: response.Status, Header: response.Header, Body: response.Body, Upstream: string(name)}, nil
 }
 
+// callDeadline returns the end of a call that is sent now: the deadline of the
+// request, or the longest time of a call of the service if that is earlier.
+func (h *Host) callDeadline(now time.Time, call *gateway.ServiceCall) time.Time {
+	cfg, ok := h.agreement.config()
+	if !ok {
+		return call.Deadline
+	}
+	end := now.Add(cfg.Service(call.Service).CallTimeout)
+	if end.Before(call.Deadline) {
+		return end
+	}
+	return call.Deadline
+}
+
 func (h *Host) noteServiceFailure(call *gateway.ServiceCall, name upstream.Name, number uint64, err error) {
 	failure := asUpstreamError(name, err)
 	kind := record.Broken
@@ -279,5 +302,8 @@
 	if !time.Now().Before(call.Deadline) {
 		return code.Wrap(failure, code.DeadlineExceeded)
 	}
+	if errors.Is(failure, context.DeadlineExceeded) {
+		return code.Wrap(failure, code.UpstreamSilent)
+	}
 	return code.Wrap(failure, code.UpstreamLost)
 }
--- a/host/leases.go
+++ b/host/leases.go
@@ -185,6 +185,7 @@
 			p.owners[name] = lease.NewOwner(options, name, now)
 			continue
 		}
+		owner.SetOptions(options)
 		owner.Tick(now)
 	}
 	for name := range p.owners {
--- /dev/null
+++ b/host/policy.go
@@ -0,0 +1,40 @@
+package host
+
+import (
+	"sync"
+	"time"
+)
+
+// policyGate keeps two changes of the configuration from being applied out of
+// their order.
+type policyGate struct {
+	mu sync.Mutex
+}
+
+// applyPolicy hands the values of the configuration in force to the parts that
+// keep a copy. All other parts read the configuration when they need it.
+func (h *Host) applyPolicy() {
+	h.policy.mu.Lock()
+	defer h.policy.mu.Unlock()
+	cfg, ok := h.agreement.config()
+	if !ok {
+		return
+	}
+	fleet := cfg.Fleet()
+	h.issuer.setLifetime(fleet.KeyLifetime)
+	h.strikes.setDecay(fleet.StrikeLifetime)
+	h.placement.setPolicy(fleet.RetryRatio, uint64(fleet.LeaseQuantum))
+}
+
+func (s *strikes) setDecay(decay time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.registry.SetDecay(decay)
+}
+
+func (p *placement) setPolicy(retryRatio float64, leaseQuantum uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.budget.SetRatio(retryRatio)
+	p.book.SetMaxWant(leaseQuantum)
+}
--- a/keyed/decision.go
+++ b/keyed/decision.go
@@ -78,7 +78,7 @@
 // network delivers twice is decided once; the second time its outcome is
 // unknown.
 func (i *Issuer) Begin(now time.Time, call Call) Decision {
-	if !i.replays.admit(i.advance(now), call.Request, i.options.Lifetime) {
+	if !i.replays.admit(i.advance(now), call.Request, i.longest) {
 		return refuse(code.New(code.KeyOutcomeUnknown, "%s was decided before", call.Request))
 	}
 	return i.BeginAgain(now, call)
--- a/keyed/issuer.go
+++ b/keyed/issuer.go
@@ -18,7 +18,7 @@
 	Host            ident.Host
 	Incarnation     ident.Incarnation
 	Secret          Secret        // fresh random bytes of this incarnation
-	Lifetime        time.Duration // a key is refused this long after it was issued
+	Lifetime        time.Duration // a key expires this long after it was issued
 	MaxKeys         int           // used keys remembered at once
 	MaxTeamKeys     int           // used keys remembered at once for one team
 	MaxOutcomeBytes int           // recorded answers kept at once
@@ -29,6 +29,7 @@
 // under them.
 type Issuer struct {
 	options  Options
+	longest  time.Duration // lifetime of any key issued so far
 	latest   time.Time // highest time seen; a clock that steps back stands still
 	sequence uint64
 	runs     uint64
@@ -43,6 +44,7 @@
 func New(options Options) *Issuer {
 	return &Issuer{
 		options:  options,
+		longest:  options.Lifetime,
 		table:    make(map[uint64]*entry),
 		teamKeys: make(map[string]int),
 		answers:  newAnswerList(),
@@ -50,6 +52,14 @@
 	}
 }
 
+// SetLifetime changes the lifetime of the keys issued from now on. Keys that
+// were issued before keep theirs: a key that has expired must stay so, because
+// its use is forgotten.
+func (i *Issuer) SetLifetime(lifetime time.Duration) {
+	i.options.Lifetime = lifetime
+	i.longest = max(i.longest, lifetime)
+}
+
 // Used returns the number of used keys that the issuer remembers.
 func (i *Issuer) Used() int {
 	return len(i.table)
@@ -83,7 +93,7 @@
 		key := Key{
 			Host:        i.options.Host,
 			Incarnation: i.options.Incarnation,
-			Issued:      now.Truncate(time.Millisecond),
+			Expires:     now.Add(i.options.Lifetime).Truncate(time.Millisecond),
 			Sequence:    i.sequence,
 			tag:         i.options.Secret.tag(team),
 		}
@@ -138,20 +148,12 @@
 	if key.tag != i.options.Secret.tag(team) {
 		return Key{}, code.New(code.KeyForeign, "key was issued to another team than %q", team)
 	}
-	if i.expired(now, key) {
-		return Key{}, code.New(code.KeyExpired, "key was issued more than %s ago", i.options.Lifetime)
+	if !now.Before(key.Expires) {
+		return Key{}, code.New(code.KeyExpired, "key expired %s ago", now.Sub(key.Expires))
 	}
 	return key, nil
 }
 
-func (i *Issuer) expired(now time.Time, key Key) bool {
-	return !now.Before(i.expiresAt(key))
-}
-
-func (i *Issuer) expiresAt(key Key) time.Time {
-	return key.Issued.Add(i.options.Lifetime)
-}
-
 func lostError(key Key) error {
 	return code.New(code.KeyIssuerLost, "the incarnation of host %q that issued the key is gone", key.Host)
 }
--- a/keyed/issuer_test.go
+++ b/keyed/issuer_test.go
@@ -172,3 +172,25 @@
 		_ = issuer.Finish(now, decision.Ticket, Outcome{Code: code.OK})
 	}
 }
+
+// TestChangedLifetimeHoldsForLaterKeys checks that a key never lives longer or
+// shorter than it was issued for: a revived key could run twice.
+func TestChangedLifetimeHoldsForLaterKeys(t *testing.T) {
+	now := time.UnixMilli(1_000_000)
+	issuer := testIssuer(1)
+	before, err := issuer.Issue(now, "team-1", 1)
+	assert.NilError(t, err)
+	issuer.SetLifetime(2 * testLifetime)
+	after, err := issuer.Issue(now, "team-1", 1)
+	assert.NilError(t, err)
+
+	now = now.Add(testLifetime - time.Millisecond)
+	_, err = issuer.Verify(now, "team-1", before[0])
+	assert.NilError(t, err)
+	now = now.Add(time.Millisecond)
+	_, err = issuer.Verify(now, "team-1", before[0])
+	assert.Equal(t, code.Of(err), code.KeyExpired)
+	issuer.SetLifetime(time.Millisecond)
+	_, err = issuer.Verify(now, "team-1", after[0])
+	assert.NilError(t, err)
+}
--- a/keyed/key.go
+++ b/keyed/key.go
@@ -27,7 +27,7 @@
 type Key struct {
 	Host        ident.Host
 	Incarnation ident.Incarnation
-	Issued      time.Time // on the clock of the issuer, in whole milliseconds
+	Expires     time.Time // on the clock of the issuer, in whole milliseconds
 	Sequence    uint64    // counts the keys of one incarnation from 1
 	tag         string
 	mac         string
@@ -44,7 +44,7 @@
 		keyPrefix,
 		string(k.Host),
 		strconv.FormatUint(uint64(k.Incarnation), numberBase),
-		strconv.FormatInt(k.Issued.UnixMilli(), numberBase),
+		strconv.FormatInt(k.Expires.UnixMilli(), numberBase),
 		strconv.FormatUint(k.Sequence, numberBase),
 		k.tag,
 	}
@@ -59,7 +59,7 @@
 	}
 	fields := strings.Split(text, keySeparator)
 	if len(fields) != keyFields || fields[0] != keyPrefix {
-		return Key{}, fmt.Errorf("key does not have the form %s.HOST.INCARNATION.TIME.SEQUENCE.TAG.MAC", keyPrefix)
+		return Key{}, fmt.Errorf("key does not have the form %s.HOST.INCARNATION.EXPIRY.SEQUENCE.TAG.MAC", keyPrefix)
 	}
 	numbers, err := parseNumbers(fields[2:5])
 	if err != nil {
@@ -68,7 +68,7 @@
 	key := Key{
 		Host:        ident.Host(fields[1]),
 		Incarnation: ident.Incarnation(numbers[0]),
-		Issued:      time.UnixMilli(int64(numbers[1])),
+		Expires:     time.UnixMilli(int64(numbers[1])),
 		Sequence:    numbers[2],
 		tag:         fields[5],
 		mac:         fields[6],
--- a/keyed/table.go
+++ b/keyed/table.go
@@ -50,7 +50,7 @@
 	used := &entry{
 		sequence: key.Sequence,
 		tag:      key.tag,
-		expires:  i.expiresAt(key),
+		expires:  key.Expires,
 		digest:   call.Digest,
 		machine:  keyedChart.New(),
 		run:      i.runs,
--- a/lease/book.go
+++ b/lease/book.go
@@ -69,6 +69,12 @@
 	return &Book{options: options, holder: holder, lines: make(map[Line]*lineState)}
 }
 
+// SetMaxWant changes the largest grant asked for above the need, in tokens. It
+// holds for requests built from now on.
+func (b *Book) SetMaxWant(tokens uint64) {
+	b.options.MaxWant = tokens
+}
+
 // Take admits work of the given size if the lease allows it at this moment.
 func (b *Book) Take(now time.Time, line Line, tokens uint64) (Permit, bool) {
 	s := b.line(line)
--- a/lease/owner.go
+++ b/lease/owner.go
@@ -81,6 +81,12 @@
 	return o
 }
 
+// SetOptions changes the rules of leases granted from now on. Leases that were
+// granted before keep their end.
+func (o *Owner) SetOptions(options OwnerOptions) {
+	o.options = options
+}
+
 // restart forgets the account. Leases of a former owner, or of this one before
 // a pause, have all ended once the account has settled.
 func (o *Owner) restart(now time.Time) {
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -29,6 +29,11 @@
 	return &Budget{options: options, level: options.Burst, updated: now}
 }
 
+// SetRatio changes the retries allowed for each first attempt from now on.
+func (b *Budget) SetRatio(ratio float64) {
+	b.options.Ratio = ratio
+}
+
 // First records a first attempt.
 func (b *Budget) First(now time.Time) {
 	b.refill(now)
--- a/strike/registry.go
+++ b/strike/registry.go
@@ -109,6 +109,11 @@
 	}
 }
 
+// SetDecay changes how long strikes count, those known already included.
+func (r *Registry) SetDecay(decay time.Duration) {
+	r.options.Decay = decay
+}
+
 // Len returns the number of strikes remembered.
 func (r *Registry) Len() int {
 	return len(r.records)
