--- a/membership/bench_test.go
+++ b/membership/bench_test.go
@@ -23,6 +23,41 @@
 	b.ReportMetric(directions*float64(f.sent)/hosts/seconds, "messages/s/host")
 }
 
+// BenchmarkChurn measures a fleet at rest but for 1,600 planned restarts a day
+// for 700 hosts, in proportion for fewer.
+func BenchmarkChurn(b *testing.B) {
+	const secondsPerRestart = 86_400.0 / 1_600
+	for _, hosts := range benchSizes {
+		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
+			f := benchFleet(hosts)
+			every := int(secondsPerRestart * 700 / float64(hosts) / testPeriod.Seconds())
+			const periods = 220
+			for range b.N {
+				for n := range periods {
+					f.churn(n, every)
+					f.period()
+				}
+			}
+			report(b, f, periods*b.N)
+		})
+	}
+}
+
+// churn stops, ends and restarts one host per cycle of the given length.
+func (f *fleet) churn(n, every int) {
+	host := f.names[n/every%len(f.names)]
+	switch n % every {
+	case 0:
+		f.tables[host].SetState(f.now, Leaving)
+	case 6:
+		f.down[host] = true
+	case 10:
+		f.start(host, f.names[:3]...)
+	case 12:
+		f.tables[host].SetState(f.now, Ready)
+	}
+}
+
 // BenchmarkRest measures a fleet in which nothing changes; one operation is one
 // period of one host.
 func BenchmarkRest(b *testing.B) {
@@ -133,3 +168,78 @@
 		clear(f.side)
 	}, (*fleet).agree)
 }
+
+// adoptRevisions lets each host take over the highest revision that a peer
+// stated in this period, as if it had fetched it by the end of the period.
+func (f *fleet) adoptRevisions() {
+	for _, name := range f.names {
+		t := f.tables[name]
+		for _, e := range t.order {
+			if e.revision > t.self.revision {
+				t.SetConfig(e.revision, e.digest)
+			}
+		}
+	}
+}
+
+func (f *fleet) allHold(revision uint64) bool {
+	for _, name := range f.names {
+		if f.tables[name].self.revision != revision {
+			return false
+		}
+	}
+	return true
+}
+
+// BenchmarkConfigSpread measures the periods until all hosts hold a revision
+// that the given number of hosts read from the service.
+func BenchmarkConfigSpread(b *testing.B) {
+	for _, hosts := range []int{18, 70, 700} {
+		for _, readers := range []int{1, 12} {
+			b.Run(fmt.Sprintf("hosts=%d/readers=%d", hosts, readers), func(b *testing.B) {
+				total := 0
+				for b.Loop() {
+					f := benchFleet(hosts)
+					for i := range readers {
+						f.tables[hostName(i)].SetConfig(2, 2)
+					}
+					n, ok := f.periodsUntil(100, func() bool {
+						f.adoptRevisions()
+						return f.allHold(2)
+					})
+					if !ok {
+						b.Fatal("the revision did not reach all hosts")
+					}
+					total += n
+				}
+				b.ReportMetric(float64(total)/float64(b.N), "periods")
+			})
+		}
+	}
+}
+
+// BenchmarkFullMesh measures the bytes of a heartbeat from each host to each
+// other one in each period, for comparison.
+func BenchmarkFullMesh(b *testing.B) {
+	for _, hosts := range benchSizes {
+		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
+			f := benchFleet(hosts)
+			b.ResetTimer()
+			for range b.N {
+				f.bytes, f.sent = 0, 0
+				f.exchangeMesh()
+			}
+			report(b, f, 1)
+		})
+	}
+}
+
+func (f *fleet) exchangeMesh() {
+	for _, from := range f.names {
+		for _, to := range f.names {
+			if p, ok := f.tables[from].Probe(f.now, to); ok {
+				f.exchange(from, p)
+			}
+		}
+	}
+}
