Plots of a single time; accounts and reclaim read reports through their packages

A plot whose times are all equal and below 1 ms panicked: the range was widened by one on either side, below zero on a logarithmic axis. Red: TestPlotsOfOneShortTime panics without the widening. Green with it.

Memory held for prompts over several engines counted as short work in the account of an engine; lease.ReportOf leaves it apart. A prompt that leaves less than the share of short work free on one engine is spread, because it would never get a lease while short work is frequent.

--- a/host/engines.go
+++ b/host/engines.go
@@ -6,12 +6,10 @@
 	"sync"
 	"time"
 
-	"github.com/citronscale/citronscale/balancer"
 	"github.com/citronscale/citronscale/chart"
 	"github.com/citronscale/citronscale/config"
 	"github.com/citronscale/citronscale/directory"
 	"github.com/citronscale/citronscale/event"
-	"github.com/citronscale/citronscale/ident"
 	"github.com/citronscale/citronscale/lease"
 	"github.com/citronscale/citronscale/reclaim"
 	"github.com/citronscale/citronscale/upstream"
@@ -184,40 +182,15 @@
 	if !ok {
 		return
 	}
-	owner.Report(time.Now(), &lease.EngineReport{
-		AsOf:           report.AsOf,
-		CapacityTokens: uint64(policy.CapacityShare * float64(report.CapacityTokens)),
-		Uses:           usesOf(report),
-		Leaving:        report.Leaving || !policy.AcceptWork || report.Version == "",
-	})
-}
-
-// usesOf returns the memory that each piece of work on an engine holds or
-// waits for.
-func usesOf(report *upstream.Report) []lease.Use {
-	var uses []lease.Use
-	for _, list := range [][]upstream.Work{report.Running, report.Waiting, report.Held} {
-		for _, work := range list {
-			uses = append(uses, lease.Use{Holder: holderOf(work.Attempt), Class: classOf(work.Priority), Tokens: uint64(work.Tokens)})
-		}
-	}
-	return uses
-}
-
-// classOf returns the class that engines serve with the given priority.
-func classOf(priority int) balancer.Class {
-	class := balancer.Class(max(priority, 0)) + balancer.ClassShort
-	return min(class, balancer.ClassLong)
+	booked := lease.ReportOf(report)
+	booked.CapacityTokens = uint64(policy.CapacityShare * float64(report.CapacityTokens))
+	booked.Leaving = booked.Leaving || !policy.AcceptWork || report.Version == ""
+	owner.Report(time.Now(), booked)
 }
 
 // reclaimWork cancels work on an owned engine that nobody waits for.
 func (h *Host) reclaimWork(ctx context.Context, engine upstream.Engine, report *upstream.Report) {
-	var attempts []ident.Attempt
-	for _, list := range [][]upstream.Work{report.Running, report.Waiting, report.Held} {
-		for _, work := range list {
-			attempts = append(attempts, work.Attempt)
-		}
-	}
+	attempts := reclaim.Attempts(report)
 	view := h.agreement.reclaimView()
 	for _, lost := range reclaim.Judge(time.Now(), reclaim.DefaultOptions(), view, attempts) {
 		call, cancel := context.WithTimeout(ctx, cancelTimeout)
--- a/host/gang.go
+++ b/host/gang.go
@@ -34,8 +34,9 @@
 	return candidates
 }
 
-// needsGang reports whether no single engine can hold the request.
-func (p *placement) needsGang(request *balancer.Request) bool {
+// needsGang reports whether no single engine can hold the request beside the
+// share that is kept for short work.
+func (p *placement) needsGang(request *balancer.Request, shortShare float64) bool {
 	if request.Class != balancer.ClassLong {
 		return false
 	}
@@ -43,11 +44,11 @@
 	for _, c := range p.gangCandidates(request) {
 		largest = max(largest, c.CapacityTokens)
 	}
-	return largest > 0 && request.Memory() > uint64(gangShare*float64(largest))
+	return largest > 0 && request.Memory() > uint64((1-max(shortShare, minSpare))*float64(largest))
 }
 
-// gangShare is the part of an engine that one request may use alone.
-const gangShare = 0.9
+// minSpare is the least part of an engine that one request leaves to others.
+const minSpare = 0.1
 
 // placeGang plans the engines that hold the request together. It waits until
 // their free memory is enough.
--- a/host/placement.go
+++ b/host/placement.go
@@ -10,7 +10,6 @@
 	"github.com/citronscale/citronscale/code"
 	"github.com/citronscale/citronscale/directory"
 	"github.com/citronscale/citronscale/gang"
-	"github.com/citronscale/citronscale/ident"
 	"github.com/citronscale/citronscale/lease"
 	"github.com/citronscale/citronscale/limit"
 	"github.com/citronscale/citronscale/retry"
@@ -177,7 +176,7 @@
 // placeCompletion returns an engine with room for the request. It fails once
 // the queue time or the deadline has passed.
 func (h *Host) placeCompletion(ctx context.Context, request *balancer.Request) (*placed, error) {
-	if h.placement.needsGang(request) {
+	if h.placement.needsGang(request, h.fleetPolicy().ShortShare) {
 		return h.placeGang(ctx, request)
 	}
 	if !h.settings.Placement.FairQueue || !h.placement.queued(request) {
@@ -217,11 +216,6 @@
 	return nil, nil
 }
 
-// holderOf returns the holder that an attempt names.
-func holderOf(a ident.Attempt) lease.Holder {
-	return lease.Holder{Host: a.Request.Host, Incarnation: a.Request.Incarnation}
-}
-
 // isolate makes a request ask for a whole engine, so that nothing else runs
 // beside it. It counts as short, because only the short class may use all.
 func (p *placement) isolate(request *balancer.Request) {
--- a/internal/load/compare.go
+++ b/internal/load/compare.go
@@ -66,9 +66,9 @@
 	{"busy cores", func(r *Report) float64 { return r.Machine.BusyCores }},
 }
 
-func (r *Report) shortTTFT() float64 {
+func (report *Report) shortTTFT() float64 {
 	var worst float64
-	for _, class := range r.Classes {
+	for _, class := range report.Classes {
 		if class.Class == classes[0].name {
 			worst = max(worst, class.TTFT.P95)
 		}
@@ -76,8 +76,8 @@
 	return worst
 }
 
-func (r *Report) shortGap() float64 {
-	for _, class := range r.Classes {
+func (report *Report) shortGap() float64 {
+	for _, class := range report.Classes {
 		if class.Class == classes[0].name {
 			return class.Gap.P95
 		}
@@ -85,28 +85,28 @@
 	return 0
 }
 
-func (r *Report) slowdown() float64 {
+func (report *Report) slowdown() float64 {
 	var worst float64
-	for _, row := range r.Slowdown {
+	for _, row := range report.Slowdown {
 		worst = max(worst, row.P95)
 	}
 	return worst
 }
 
-func (r *Report) inTimeShare() float64 {
+func (report *Report) inTimeShare() float64 {
 	inTime := 0
-	for _, class := range r.Classes {
+	for _, class := range report.Classes {
 		inTime += class.InTime
 	}
-	return float64(inTime) / float64(max(r.Sent, 1))
+	return float64(inTime) / float64(max(report.Sent, 1))
 }
 
-func (r *Report) refusedShare() float64 {
+func (report *Report) refusedShare() float64 {
 	refused := 0
-	for _, class := range r.Classes {
+	for _, class := range report.Classes {
 		refused += class.Refused
 	}
-	return float64(refused) / float64(max(r.Sent, 1))
+	return float64(refused) / float64(max(report.Sent, 1))
 }
 
 // Write prints a Markdown table: for each policy the median over its runs and,
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -265,6 +265,13 @@
 	assert.NilError(t, err)
 }
 
+func TestPlotsOfOneShortTime(t *testing.T) {
+	answer := &Answer{FirstToken: 400 * time.Microsecond, Gaps: []time.Duration{300 * time.Microsecond}}
+	results := []Result{{Answer: answer, Whole: true}}
+	_, err := WritePlots(t.TempDir(), testWorkload(), results)
+	assert.NilError(t, err)
+}
+
 func TestFairnessIndex(t *testing.T) {
 	assert.Equal(t, fairness([]TeamRow{{Sent: 1, InTimeShare: 0.5}, {Sent: 1, InTimeShare: 0.5}, {}}), 1.0)
 	assert.Equal(t, fairness([]TeamRow{{Sent: 1, InTimeShare: 1}, {Sent: 1}}), 0.5)
--- a/internal/load/plots.go
+++ b/internal/load/plots.go
@@ -89,10 +89,22 @@
 	if !drawn {
 		p.X.Scale = plot.LinearScale{}
 		p.X.Tick.Marker = plot.DefaultTicks{}
+		return p, nil
 	}
+	widen(&p.X)
 	return p, nil
 }
 
+// widen gives an axis whose values are all equal a range. The plot would widen it
+// by one on either side, which leaves a logarithmic scale without a place for a
+// value below one.
+func widen(axis *plot.Axis) {
+	if axis.Min == axis.Max {
+		axis.Min /= 2
+		axis.Max *= 2
+	}
+}
+
 // distribution returns the values at each percent.
 func distribution(durations []time.Duration) plotter.XYs {
 	sorted := slices.Sorted(slices.Values(durations))
