--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -124,10 +124,38 @@
 	assert.DeepEqual(t, report.Uses, []Use{
 		{holder, balancer.ClassShort, 10},
 		{holder, balancer.ClassLong, 20},
-		{Holder{"host-1", 2}, balancer.ClassLong, 30},
+		{Holder{"host-1", 2}, Unleased, 30},
 	})
 }
 
+// Memory of a prompt over several engines is held without a lease. It stays
+// charged while its host asks for leases of any class all the time.
+func TestUnleasedMemoryStaysChargedUnderFrequentRequests(t *testing.T) {
+	options := DefaultOwnerOptions()
+	now := worldStart
+	owner := NewOwner(options, "engine-0", now)
+	holder := Holder{"host-0", 1}
+	book := NewBook(DefaultBookOptions(), holder)
+	attempt := ident.Attempt{Request: ident.Request{Host: holder.Host, Incarnation: holder.Incarnation}}
+	for step := range 200 {
+		now = now.Add(50 * time.Millisecond)
+		owner.Report(now, ReportOf(&upstream.Report{
+			AsOf:           now,
+			CapacityTokens: worldCapacity,
+			Held:           []upstream.Work{{Attempt: attempt, Tokens: worldCapacity - 2}},
+		}))
+		for _, class := range []balancer.Class{balancer.ClassShort, balancer.ClassMedium, balancer.ClassLong} {
+			line := Line{"engine-0", class}
+			req := book.Request(now, line, 1)
+			book.Response(line, req.Sequence, owner.Handle(now, req))
+			leased := book.Free(now, Line{"engine-0", balancer.ClassShort}) +
+				book.Free(now, Line{"engine-0", balancer.ClassMedium}) +
+				book.Free(now, Line{"engine-0", balancer.ClassLong})
+			assert.Assert(t, leased <= 2, "%d tokens are lent of 2 at step %d", leased, step)
+		}
+	}
+}
+
 // Long work can't take the share of the short class while it is needed, and can
 // when it is not; a large need is met although small ones keep coming.
 func TestShortShareIsKeptAndLent(t *testing.T) {
@@ -182,3 +210,43 @@
 	}
 	assert.Assert(t, met)
 }
+
+// A new owner reads a report from before its predecessor lent the tokens of one
+// holder to another, and then gets a late request of the first to renew.
+func TestSettlingOwnerDoesNotRenewAgainstAnOldReport(t *testing.T) {
+	options := DefaultOwnerOptions()
+	options.SettleShare = 0
+	line := Line{"engine-0", balancer.ClassShort}
+	first := Holder{"host-a", 1}
+	a, b := NewBook(DefaultBookOptions(), first), NewBook(DefaultBookOptions(), Holder{"host-b", 1})
+	at := func(ms int) time.Time { return worldStart.Add(time.Minute + time.Duration(ms)*time.Millisecond) }
+	report := func(owner *Owner, ms, asOf int, uses ...Use) {
+		owner.Report(at(ms), &EngineReport{AsOf: at(asOf), CapacityTokens: worldCapacity, Uses: uses})
+	}
+	former := NewOwner(options, line.Engine, worldStart)
+	former.ticked = at(0)
+	report(former, 0, -1)
+	lend := func(book *Book, ms int) {
+		req := book.Request(at(ms), line, worldCapacity)
+		book.Response(line, req.Sequence, former.Handle(at(ms), req))
+	}
+	lend(a, 0)
+	permit, ok := a.Take(at(100), line, worldCapacity)
+	assert.Assert(t, ok)
+	inUse := Use{first, balancer.ClassShort, worldCapacity} // reported as of 200 ms
+	a.Return(permit)
+	late := a.Request(at(1400), line, 0)
+	assert.Equal(t, late.HeldTokens, uint32(worldCapacity))
+	for ms := 200; ms <= 2300; ms += 100 {
+		report(former, ms, ms)
+	}
+	lend(b, 2310)
+	_, ok = b.Take(at(2310), line, worldCapacity)
+	assert.Assert(t, ok, "the lease of the first holder has ended")
+
+	owner := NewOwner(options, line.Engine, at(2320))
+	report(owner, 2330, 200, inUse)
+	a.Response(line, late.Sequence, owner.Handle(at(2400), late))
+	_, ok = a.Take(at(2500), line, 1)
+	assert.Assert(t, !ok, "tokens that the second holder uses were lent again")
+}
