Records: every identifier of a known team has a beginning and an end

A trace of a completion began with sending, so nobody saw how long it waited, and a request that was refused before had no entry: the verdict was right, but for the reason that the identifier was never given out. Failed requests had no prompt tokens, and so no class in metrics and logs.

The identifier is now given out under the lock of the records together with its admitted entry, so that entries begin in ascending order, which the book needs to tell unseen requests from forgotten ones. A request of an unknown caller gets an identifier and leaves no entry. The gateway reports the end of every request, whoever refused it, before the refusal is written. A request that waits for room or for a run of its own gets a queued entry. The gateway counts the tokens of a prompt once, as soon as it has read it.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -16,7 +16,7 @@
 
 // Events of requests: 2xx.
 var (
-	RequestAdmitted = Event{200, "request admitted", log.DebugLevel, "A request passed its checks.", ""}
+	RequestAdmitted = Event{200, "request admitted", log.DebugLevel, "A request of a known team got its identifier.", ""}
 	RequestFinished = Event{201, "request finished", log.InfoLevel, "A request ended whole.", ""}
 	RequestRefused  = Event{202, "request refused", log.InfoLevel, "A request was refused and not run.", "Look up the code."}
 	RequestFailed   = Event{203, "request failed", log.WarnLevel, "A request failed after it was sent to an upstream.", "Run citronctl trace with the request identifier."}
--- a/gateway/completion.go
+++ b/gateway/completion.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/citronscale/citronscale/code"
+	"github.com/citronscale/citronscale/upstream"
 )
 
 const defaultMaxTokens = 256
@@ -137,6 +138,8 @@
 	if err != nil {
 		return err
 	}
+	c.PromptTokens = upstream.CountTokens(c.Prompt)
+	x.outcome.PromptTokens = c.PromptTokens
 	c.Request = x.id
 	c.Team = x.team
 	c.Deadline = deadline
@@ -148,13 +151,14 @@
 	result, err := g.backend.Complete(x.r.Context(), c, out)
 	x.outcome.FirstToken = out.firstToken
 	x.outcome.CompletionTokens = out.tokens
+	if result != nil {
+		x.outcome.Upstream = result.Upstream
+		x.outcome.Attempts = result.Attempts
+	}
 	if err != nil {
 		out.fail(err)
 		return err
 	}
-	x.outcome.Upstream = result.Upstream
-	x.outcome.Attempts = result.Attempts
-	x.outcome.PromptTokens = result.PromptTokens
 	return out.finish(result)
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -24,29 +24,32 @@
 	// Timeout returns the time that a request of the team gets: the asked time
 	// within the bounds of the configuration, or its default if asked is zero.
 	Timeout(team string, asked time.Duration) time.Duration
-	// NewRequest returns a fresh request identifier.
-	NewRequest() ident.Request
-	// Complete runs a completion and delivers its text to the sink in order.
+	// NewRequest returns a fresh request identifier. The team is empty if the
+	// caller is not known; nothing else is remembered of such a request.
+	NewRequest(team string) ident.Request
+	// Complete runs a completion and delivers its text to the sink in order. With
+	// an error the result, if any, says only which upstream and how many attempts.
 	Complete(ctx context.Context, c *Completion, sink Sink) (*CompletionResult, error)
 	// IssueKeys returns n idempotency keys for the team.
 	IssueKeys(team string, n int) ([]string, error)
 	// CallService runs a call of a plain service.
 	CallService(ctx context.Context, call *ServiceCall) (*ServiceAnswer, error)
-	// Finished reports the end of every request to logs and metrics.
+	// Finished reports the end of every request to records, logs and metrics.
 	Finished(r *Outcome)
 }
 
 // Completion is one checked completion request.
 type Completion struct {
-	Request   ident.Request
-	Team      string
-	Model     string
-	Prompt    string
-	MaxTokens uint32
-	Deadline  time.Time
+	Request      ident.Request
+	Team         string
+	Model        string
+	Prompt       string
+	PromptTokens uint32
+	MaxTokens    uint32
+	Deadline     time.Time
 }
 
-// CompletionResult describes a completion that ended whole.
+// CompletionResult describes how a completion ended.
 type CompletionResult struct {
 	PromptTokens     uint32
 	CompletionTokens uint32
@@ -85,10 +88,10 @@
 	Upstream string
 }
 
-// Outcome is the end of one request as logs and metrics see it.
+// Outcome is the end of one request as records, logs and metrics see it.
 type Outcome struct {
 	Request          ident.Request
-	Team             string
+	Team             string // empty if the caller is not known
 	Kind             string // completion, chat, service or keys
 	Code             code.Code
 	Detail           string
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -32,18 +32,25 @@
 	failAfter int
 	calls     []*ServiceCall
 	completed int
+	outcomes  []Outcome
 }
 
 func (b *fakeBackend) Ready() error                                    { return nil }
 func (b *fakeBackend) Models() []string                                { return []string{"small"} }
 func (b *fakeBackend) Timeout(_ string, _ time.Duration) time.Duration { return time.Minute }
-func (b *fakeBackend) IssueKeys(_ string, n int) ([]string, error)     { return make([]string, n), nil }
-func (b *fakeBackend) Finished(_ *Outcome)                             {}
+func (b *fakeBackend) IssueKeys(_ string, n int) ([]string, error) { return make([]string, n), nil }
+
 func (b *fakeBackend) Authenticate(token string) (team string, ok bool) {
 	return "alpha", token == testToken
 }
 
-func (b *fakeBackend) NewRequest() ident.Request {
+func (b *fakeBackend) Finished(o *Outcome) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.outcomes = append(b.outcomes, *o)
+}
+
+func (b *fakeBackend) NewRequest(string) ident.Request {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.sequence++
@@ -212,3 +219,15 @@
 	}
 	assert.Equal(t, backend.completed, 0)
 }
+
+// TestFailedRequestsKeepTheirSize reads what logs and metrics are told of a
+// request that failed: without its tokens it would have no class.
+func TestFailedRequestsKeepTheirSize(t *testing.T) {
+	backend := &fakeBackend{err: code.New(code.NoCapacity, "no engine has room")}
+	_, err := newClient(serve(t, backend), testToken).Chat.Completions.New(context.Background(), chatParams())
+	assert.Assert(t, err != nil)
+	assert.Equal(t, len(backend.outcomes), 1)
+	assert.Equal(t, backend.outcomes[0].Code, code.NoCapacity)
+	assert.Equal(t, backend.outcomes[0].Team, "alpha")
+	assert.Assert(t, backend.outcomes[0].PromptTokens > 0)
+}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -47,11 +47,12 @@
 // withTeam authenticates the caller, runs handle and renders its error.
 func (g *Gateway) withTeam(kind string, handle exchangeHandler) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		x := &exchange{w: &responseWriter{ResponseWriter: w}, r: r, kind: kind, id: g.backend.NewRequest(), started: time.Now(), memory: g.pool.Reserve()}
+		started := time.Now()
+		team, err := g.identify(r)
+		x := &exchange{w: &responseWriter{ResponseWriter: w}, r: r, kind: kind, id: g.backend.NewRequest(team), team: team, started: started, memory: g.pool.Reserve()}
 		defer x.memory.Release()
-		x.outcome = Outcome{Request: x.id, Kind: kind, Started: x.started}
+		x.outcome = Outcome{Request: x.id, Kind: kind, Team: team, Started: started}
 		w.Header().Set(headerRequestID, x.id.String())
-		err := g.admit(x)
 		if err == nil {
 			err = handle(x)
 		}
@@ -59,18 +60,17 @@
 	}
 }
 
-// admit refuses a request that the host can't serve or whose team is unknown.
-func (g *Gateway) admit(x *exchange) error {
+// identify returns the team of a request. It refuses a request that the host
+// can't serve or whose team is not known; the team is empty in the latter case.
+func (g *Gateway) identify(r *http.Request) (team string, err error) {
+	team, known := g.backend.Authenticate(bearerToken(r))
 	if err := g.backend.Ready(); err != nil {
-		return err
+		return team, err
 	}
-	team, ok := g.backend.Authenticate(bearerToken(x.r))
-	if !ok {
-		return code.New(code.TeamTokenInvalid, "bearer token is missing or belongs to no team")
+	if !known {
+		return "", code.New(code.TeamTokenInvalid, "bearer token is missing or belongs to no team")
 	}
-	x.team = team
-	x.outcome.Team = team
-	return nil
+	return team, nil
 }
 
 func (g *Gateway) finish(x *exchange, err error) {
@@ -78,9 +78,11 @@
 	x.outcome.Took = time.Since(x.started)
 	if err != nil {
 		x.outcome.Detail = err.Error()
+	}
+	g.backend.Finished(&x.outcome) // before the caller can ask for the trace
+	if err != nil {
 		writeProblem(x, err)
 	}
-	g.backend.Finished(&x.outcome)
 }
 
 func bearerToken(r *http.Request) string {
--- a/host/admission.go
+++ b/host/admission.go
@@ -26,7 +26,7 @@
 	if !ok {
 		return nil, config.ModelPolicy{}, code.New(code.ModelUnknown, "model %q is not in the configuration", c.Model)
 	}
-	tokens := upstream.CountTokens(c.Prompt)
+	tokens := c.PromptTokens
 	if model.ContextTokens > 0 && tokens+c.MaxTokens > model.ContextTokens {
 		return nil, config.ModelPolicy{}, code.New(code.PromptTooLong, "prompt and answer have %d tokens, model %q holds %d", tokens+c.MaxTokens, c.Model, model.ContextTokens)
 	}
--- a/host/attempts.go
+++ b/host/attempts.go
@@ -23,7 +23,7 @@
 
 // generate sends an attempt to its engine or engines.
 func (h *Host) generate(ctx context.Context, p *placed, c *gateway.Completion, a attempt.Send) (upstream.Stream, error) {
-	tokens := upstream.CountTokens(c.Prompt)
+	tokens := c.PromptTokens
 	request := &upstream.GenerateRequest{
 		Attempt: a.Attempt, Model: c.Model, Prompt: c.Prompt, PromptTokens: tokens, MaxTokens: c.MaxTokens,
 		Priority: h.priority(tokens), ResumeOffset: a.ResumeOffset, ResumeText: a.ResumeText,
@@ -109,7 +109,7 @@
 // against it, alone if it is suspect. It fails if the content is refused. The
 // returned function ends a trial.
 func (h *Host) awaitVerdict(ctx context.Context, r *completionRun) (isolated bool, end func(), err error) {
-	for {
+	for waits := false; ; waits = true {
 		switch h.strikes.judge(time.Now(), r.content) {
 		case strike.Refuse:
 			h.log.Emit(event.ContentQuarantined).Str("request", r.c.Request.String()).Str("team", r.c.Team).Msg("")
@@ -118,6 +118,9 @@
 			if h.strikes.startTrial(r.content) {
 				return true, func() { h.strikes.endTrial(r.content) }, nil
 			}
+			if !waits {
+				r.noteQueued("suspect content waits to run alone")
+			}
 		default:
 			return false, func() {}, nil
 		}
@@ -138,7 +141,7 @@
 	if isolated {
 		h.placement.isolate(request)
 	}
-	p, err := h.placeCompletion(ctx, request)
+	p, err := h.placeCompletion(ctx, request, func() { r.noteQueued("no engine has room") })
 	if err != nil {
 		endTrial()
 		return nil, err
--- a/host/backend.go
+++ b/host/backend.go
@@ -48,12 +48,17 @@
 }
 
 // NewRequest implements gateway.Backend.
-func (h *Host) NewRequest() ident.Request {
-	return ident.Request{Host: h.self, Incarnation: h.incarnation, Sequence: h.sequence.Add(1)}
+func (h *Host) NewRequest(team string) ident.Request {
+	request := h.records.issue(team)
+	if team != "" {
+		h.log.Emit(event.RequestAdmitted).Str("request", request.String()).Str("team", team).Msg("")
+	}
+	return request
 }
 
 // Finished implements gateway.Backend.
 func (h *Host) Finished(o *gateway.Outcome) {
+	h.records.finish(o)
 	class := h.wireClass(o)
 	h.metrics.RequestFinished(class, o.Code, o.Took)
 	if o.FirstToken > 0 {
--- a/host/completion.go
+++ b/host/completion.go
@@ -124,9 +124,8 @@
 }
 
 func (r *completionRun) result() (*gateway.CompletionResult, error) {
-	r.note(record.Finished, r.finish.Code, r.finish.Detail)
 	if r.finish.Code != code.OK {
-		return nil, code.New(r.finish.Code, "%s", r.finish.Detail)
+		return &gateway.CompletionResult{Upstream: r.lastUpstream(), Attempts: r.machine.Attempts()}, code.New(r.finish.Code, "%s", r.finish.Detail)
 	}
 	r.host.strikes.finished(r.content)
 	r.host.placement.learnFinished(r.finish.Tokens, time.Since(r.firstAt))
--- a/host/host.go
+++ b/host/host.go
@@ -5,7 +5,6 @@
 	"crypto/tls"
 	"net/http"
 	"net/netip"
-	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -28,7 +27,6 @@
 	settings    *settings.Settings
 	self        ident.Host
 	incarnation ident.Incarnation
-	sequence    atomic.Uint64
 	log         *event.Logger
 	metrics     *metrics.Metrics
 	pool        *buffer.Pool
--- a/host/keyed.go
+++ b/host/keyed.go
@@ -106,10 +106,7 @@
 		return nil, err
 	}
 	defer h.lifecycle.end()
-	h.records.add(record.Entry{Request: call.Request, Kind: record.Admitted, Team: call.Team})
-	answer, err := h.decideService(ctx, call)
-	h.records.add(record.Entry{Request: call.Request, Kind: record.Finished, Team: call.Team, Code: code.Of(err), Detail: detailOf(err)})
-	return answer, err
+	return h.decideService(ctx, call)
 }
 
 func detailOf(err error) string {
--- a/host/placement.go
+++ b/host/placement.go
@@ -175,8 +175,8 @@
 }
 
 // placeCompletion returns an engine with room for the request. It fails once
-// the queue time or the deadline has passed.
-func (h *Host) placeCompletion(ctx context.Context, request *balancer.Request) (*placed, error) {
+// the queue time or the deadline has passed. Before it waits it calls queued.
+func (h *Host) placeCompletion(ctx context.Context, request *balancer.Request, queued func()) (*placed, error) {
 	if h.placement.needsGang(request) {
 		return h.placeGang(ctx, request)
 	}
@@ -185,6 +185,7 @@
 			return p, err
 		}
 	}
+	queued()
 	return h.waitForPlace(ctx, request)
 }
 
--- a/host/records.go
+++ b/host/records.go
@@ -6,6 +6,7 @@
 
 	"github.com/citronscale/citronscale/code"
 	"github.com/citronscale/citronscale/event"
+	"github.com/citronscale/citronscale/gateway"
 	"github.com/citronscale/citronscale/ident"
 	"github.com/citronscale/citronscale/record"
 	"github.com/citronscale/citronscale/upstream"
@@ -18,16 +19,44 @@
 
 // records is the memory of what ran on this host.
 type records struct {
-	mu   sync.Mutex
-	book *record.Book
+	mu       sync.Mutex
+	book     *record.Book
+	self     ident.Request // without a sequence
+	sequence uint64        // of the newest identifier given out
 }
 
 func newRecords(host ident.Host, incarnation ident.Incarnation, capacity int) *records {
-	return &records{book: record.New(record.Options{
+	return &records{self: ident.Request{Host: host, Incarnation: incarnation}, book: record.New(record.Options{
 		Host: host, Incarnation: incarnation, MaxRequests: capacity, MaxAge: recordAge, MaxOrigins: recordOrigins,
 	})}
 }
 
+// issue gives out an identifier and notes that a request of the team has it.
+// Requests of unknown callers leave no entry, so that they can't push others
+// out.
+func (r *records) issue(team string) ident.Request {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sequence++
+	request := r.self
+	request.Sequence = r.sequence
+	if team != "" {
+		r.book.Add(record.Entry{Request: request, Time: time.Now(), Kind: record.Admitted, Team: team})
+	}
+	return request
+}
+
+// finish notes the end of a request that has an entry.
+func (r *records) finish(o *gateway.Outcome) {
+	if o.Team == "" {
+		return
+	}
+	r.add(record.Entry{
+		Request: o.Request, Kind: record.Finished, Attempt: uint64(o.Attempts), Team: o.Team,
+		Upstream: upstream.Name(o.Upstream), Code: o.Code, Detail: o.Detail,
+	})
+}
+
 func (r *records) add(entry record.Entry) {
 	entry.Time = time.Now()
 	r.mu.Lock()
@@ -56,6 +85,12 @@
 	})
 }
 
+// noteQueued adds that the completion waits. Other goroutines than that of the
+// request may call it.
+func (r *completionRun) noteQueued(reason string) {
+	r.host.records.add(record.Entry{Request: r.c.Request, Kind: record.Queued, Team: r.c.Team, Detail: reason})
+}
+
 // noteBroken records and logs how an attempt ended that gave no whole answer.
 func (r *completionRun) noteBroken(failure *upstream.Error) {
 	kind := record.Broken
--- a/record/book.go
+++ b/record/book.go
@@ -92,7 +92,7 @@
 }
 
 // Add notes an entry. The host package adds an Admitted entry for every
-// identifier that it gives out, in ascending order.
+// identifier that it gives out to a known team, in ascending order.
 func (b *Book) Add(entry Entry) {
 	b.Expire(entry.Time)
 	if len(entry.Detail) > MaxDetailBytes {
--- a/record/entry.go
+++ b/record/entry.go
@@ -15,8 +15,8 @@
 
 // Kinds of entries.
 const (
-	Admitted  Kind = "admitted"  // the request passed its checks at this host
-	Queued    Kind = "queued"    // no upstream had room; the detail names the reason
+	Admitted  Kind = "admitted"  // the host gave the request of a known team its identifier
+	Queued    Kind = "queued"    // the request waits; the detail names the reason
 	Sending   Kind = "sending"   // the request may leave for an upstream from now on
 	Refused   Kind = "refused"   // the attempt certainly did not run
 	Running   Kind = "running"   // the upstream sent the first part of its answer
