Records: an hour, and what it costs

The cause of an answer is expected within the hour, but entries were dropped after 30 minutes. They are kept for an hour now.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -38,7 +38,7 @@
 func (b *fakeBackend) Ready() error                                    { return nil }
 func (b *fakeBackend) Models() []string                                { return []string{"small"} }
 func (b *fakeBackend) Timeout(_ string, _ time.Duration) time.Duration { return time.Minute }
-func (b *fakeBackend) IssueKeys(_ string, n int) ([]string, error) { return make([]string, n), nil }
+func (b *fakeBackend) IssueKeys(_ string, n int) ([]string, error)     { return make([]string, n), nil }
 
 func (b *fakeBackend) Authenticate(token string) (team string, ok bool) {
 	return "alpha", token == testToken
--- a/host/records.go
+++ b/host/records.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	recordAge     = 30 * time.Minute // a request is remembered this long after its last entry
-	recordOrigins = 2048             // other incarnations for which forgetting is tracked exactly
+	recordAge     = time.Hour // a request is remembered this long after its last entry
+	recordOrigins = 2048      // other incarnations for which forgetting is tracked exactly
 )
 
 // records is the memory of what ran on this host.
--- a/record/book_test.go
+++ b/record/book_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"runtime"
 	"slices"
 	"testing"
 	"time"
@@ -195,3 +196,27 @@
 		book.Add(Entry{Request: id("host-0", n), Time: start, Kind: Admitted, Team: "team-1"})
 	}
 }
+
+// BenchmarkRequestMemory reports the bytes that a full book holds for each
+// request that was admitted, sent, answered and finished.
+func BenchmarkRequestMemory(b *testing.B) {
+	const requests = 65_536
+	for b.Loop() {
+		before := heapBytes()
+		book := New(Options{Host: "host-0", Incarnation: 1, MaxRequests: requests, MaxAge: time.Hour, MaxOrigins: 16})
+		for n := range uint64(requests) {
+			for _, kind := range []Kind{Admitted, Sending, Running, Finished} {
+				book.Add(Entry{Request: id("host-0", n+1), Time: start, Kind: kind, Attempt: 1, Team: "team-1", Upstream: "engine-1"})
+			}
+		}
+		b.ReportMetric(float64(heapBytes()-before)/requests, "B/request")
+		runtime.KeepAlive(book)
+	}
+}
+
+func heapBytes() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
