membership: a few partners per host, one exchanged per turn

Cause: with a shuffled turn over all hosts, at 700 hosts nearly each probe would open a connection; a mutual TLS handshake costs 4,040 bytes and 1.7 ms (internal/capacity, BenchmarkPeerHandshake), 13 KB/s of the 16 KB/s allowed. A host now probes 16 partners in turn and exchanges one of them per turn.

--- a/membership/doc.go
+++ b/membership/doc.go
@@ -1,6 +1,7 @@
 // Package membership keeps one host's view of all entry hosts.
 //
-// Each host probes a few peers per heartbeat period in a shuffled order. Probes
+// Each host probes one of its partners per heartbeat period. Partners are a few
+// random hosts, one of which is exchanged per turn; they spare connections. Probes
 // and answers carry a bounded number of recent changes, so news reaches all
 // hosts in a number of periods that grows with the logarithm of their number,
 // at a cost per host that does not grow. A peer that does not answer is probed
--- a/membership/options.go
+++ b/membership/options.go
@@ -14,6 +14,7 @@
 	PauseTime       time.Duration // a longer gap between ticks counts as a pause
 	FailedRetention time.Duration // a failed host is forgotten after this time
 	Fanout          int           // probes per period
+	Partners        int           // hosts that a host probes in turn before it exchanges one of them
 	IndirectProbes  int           // third hosts asked about a silent host
 	IndirectLimit   int           // third hosts asked per period; over it silence alone makes a host suspect
 	LeavingFanout   int           // probes at once when the host begins to leave
@@ -29,6 +30,7 @@
 		PauseTime:       4 * period,
 		FailedRetention: 15 * time.Minute,
 		Fanout:          1,
+		Partners:        16,
 		IndirectProbes:  2,
 		IndirectLimit:   2,
 		LeavingFanout:   16,
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -110,8 +110,8 @@
 	return targets
 }
 
-// nextInRing takes hosts from a shuffled list of all responsive peers, so that
-// each is probed once before any is probed again.
+// nextInRing takes hosts from a shuffled list of the partners, so that each is
+// probed once before any is probed again.
 func (t *Table) nextInRing(count int) []ident.Host {
 	var targets []ident.Host
 	refilled := false
@@ -133,17 +133,46 @@
 	return targets
 }
 
+// refillRing starts a new turn over the partners. A fleet with more hosts than
+// partners exchanges one partner per turn: connections to partners are reused,
+// while a new connection costs a TLS handshake.
 func (t *Table) refillRing() {
+	var others []ident.Host
+	partners := make([]ident.Host, 0, t.options.Partners)
 	for _, e := range t.order {
-		if responsive(e.state) {
-			t.ring = append(t.ring, e.host)
+		switch {
+		case !responsive(e.state):
+		case slices.Contains(t.partners, e.host):
+			partners = append(partners, e.host)
+		default:
+			others = append(others, e.host)
 		}
 	}
-	t.rng.Shuffle(len(t.ring), func(i, j int) { t.ring[i], t.ring[j] = t.ring[j], t.ring[i] })
+	t.shuffle(partners)
+	t.shuffle(others)
+	if len(others) > 0 && len(partners) >= t.options.Partners {
+		partners = partners[:t.options.Partners-1]
+	}
+	missing := min(len(others), t.options.Partners-len(partners))
+	t.partners = append(partners, others[:missing]...)
+	t.ring = append(t.ring[:0], t.partners...)
+	t.shuffle(t.ring)
+}
+
+func (t *Table) shuffle(hosts []ident.Host) {
+	t.rng.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
 }
 
-// insertInRing puts a host at a random place of the list.
+// insertInRing lets a host that joined be probed in this turn, if all hosts are
+// partners. Once there are more, partners are drawn anew, as hosts that started
+// together would otherwise share them.
 func (t *Table) insertInRing(host ident.Host) {
+	if len(t.order) > t.options.Partners {
+		if len(t.partners) == 0 {
+			t.ring = t.ring[:0]
+		}
+		return
+	}
 	if slices.Contains(t.ring, host) {
 		return
 	}
@@ -181,5 +210,5 @@
 		}
 	}
 	slices.Sort(t.lost)
-	t.rng.Shuffle(len(t.lost), func(i, j int) { t.lost[i], t.lost[j] = t.lost[j], t.lost[i] })
+	t.shuffle(t.lost)
 }
--- a/membership/table.go
+++ b/membership/table.go
@@ -21,8 +21,9 @@
 	self      *entry
 	entries   map[ident.Host]*entry // includes self
 	seeds     map[ident.Host]Seed
-	order     []*entry // all entries but self, sorted by host, for anti-entropy
-	ring      []ident.Host
+	order     []*entry     // all entries but self, sorted by host, for anti-entropy
+	ring      []ident.Host // partners still to be probed in this turn
+	partners  []ident.Host
 	lost      []ident.Host // failed hosts and unknown seeds to probe in turn
 	lostCount int          // length of lost when it was last filled
 	digest    uint64       // digest of all records that are not failed
