--- a/host/leases.go
+++ b/host/leases.go
@@ -64,7 +64,7 @@
 	}
 	p.book.Response(line, sequence, response)
 	if !response.GetNotOwner() && !response.GetLeaving() {
-		p.set.OwnerFree(time.Now(), line.Engine, uint64(response.GetFreeTokens()))
+		p.set.OwnerFree(line.Engine, uint64(response.GetFreeTokens()))
 	}
 }
 
@@ -185,6 +185,7 @@
 			p.owners[name] = lease.NewOwner(options, name, now)
 			continue
 		}
+		owner.SetOptions(options)
 		owner.Tick(now)
 	}
 	for name := range p.owners {
