--- a/keyed/issuer.go
+++ b/keyed/issuer.go
@@ -30,7 +30,7 @@
 type Issuer struct {
 	options  Options
 	longest  time.Duration // lifetime of any key issued so far
-	latest   time.Time // highest time seen; a clock that steps back stands still
+	latest   time.Time     // highest time seen; a clock that steps back stands still
 	sequence uint64
 	runs     uint64
 	table    map[uint64]*entry // by sequence of the key
