--- a/internal/processtest/fleet_test.go
+++ b/internal/processtest/fleet_test.go
@@ -228,6 +228,26 @@
 	return string(data[max(0, len(data)-shown):])
 }
 
+// logOf returns the log lines of all hosts that name a request.
+func (f *fleet) logOf(requestID string) string {
+	if requestID == "" {
+		return ""
+	}
+	var found strings.Builder
+	for _, host := range f.hosts {
+		data, err := os.ReadFile(filepath.Join(f.directory, host.name+".log"))
+		if err != nil {
+			continue
+		}
+		for line := range strings.Lines(string(data)) {
+			if strings.Contains(line, requestID+".") || strings.Contains(line, requestID+`"`) {
+				found.WriteString(line)
+			}
+		}
+	}
+	return found.String()
+}
+
 // kill ends the daemon at once and waits until it is gone.
 func (h *hostNode) kill() {
 	_ = h.command.Process.Kill()
--- a/internal/processtest/kill_test.go
+++ b/internal/processtest/kill_test.go
@@ -168,7 +168,7 @@
 		stream := w.Streams[result.Arrival.Stream]
 		about := fmt.Sprintf("request %s of stream %s: code %d: %s", result.Answer.RequestID, stream.Name, result.Answer.Code, result.Answer.Detail)
 		if result.Answer.Code != code.OK {
-			t.Log(about)
+			t.Logf("%s\nruns %+v\n%s", about, f.runsOf(result.Answer.RequestID), f.logOf(result.Answer.RequestID))
 		}
 		assert.Check(t, !result.Wrong, about)
 		assert.Check(t, result.Answer.Took <= time.Duration(stream.Timeout)+time.Second, "%s: took %v", about, result.Answer.Took)
--- a/internal/stub/enginestub/engine.go
+++ b/internal/stub/enginestub/engine.go
@@ -82,6 +82,13 @@
 	e.reports = [2]snapshot{e.snapshot(now), e.snapshot(now)}
 }
 
+// OnCrash replaces what happens when the engine crashes.
+func (e *Engine) OnCrash(crash func()) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.options.Crash = crash
+}
+
 // SetLeaving makes the engine refuse new work and finish what it runs.
 func (e *Engine) SetLeaving(leaving bool) {
 	e.mu.Lock()
--- a/internal/stub/enginestub/handler.go
+++ b/internal/stub/enginestub/handler.go
@@ -38,8 +38,11 @@
 }
 
 func (e *Engine) crash() {
-	if e.options.Crash != nil {
-		e.options.Crash()
+	e.mu.Lock()
+	crash := e.options.Crash
+	e.mu.Unlock()
+	if crash != nil {
+		crash()
 	}
 }
 
