--- a/balancer/request.go
+++ b/balancer/request.go
@@ -12,6 +12,7 @@
 	Model         string
 	PromptTokens  uint32
 	MaxTokens     uint32 // largest length of the answer
+	ReserveTokens uint32 // memory asked for beyond prompt and answer
 	Class         Class
 	PrefixDigests []uint64 // as upstream.PrefixDigests computes them, shortest first
 	Team          string
@@ -19,9 +20,9 @@
 	Avoid         []upstream.Name // engines that must not be chosen
 }
 
-// Memory returns the KV memory that the request can grow to, in tokens.
+// Memory returns the KV memory that the request asks for, in tokens.
 func (r *Request) Memory() uint64 {
-	return uint64(r.PromptTokens) + uint64(r.MaxTokens)
+	return uint64(r.PromptTokens) + uint64(r.MaxTokens) + uint64(r.ReserveTokens)
 }
 
 func (r *Request) avoids(name upstream.Name) bool {
@@ -39,7 +40,6 @@
 	OwnRequests    uint32    // own requests in flight
 	UnseenTokens   uint64    // of the own work sent after the last report was taken
 	ByClass        ByClass   // running, waiting and unseen work
-	LeasedFree     uint64    // held under a lease and not in use
 	AsOf           time.Time // when the last report was taken
 	Leaving        bool
 	Failed         bool // does not answer, or is struck
