--- a/internal/stub/enginestub/report.go
+++ b/internal/stub/enginestub/report.go
@@ -24,6 +24,7 @@
 		AsOfMS:         now.UnixMilli(),
 		CapacityTokens: e.options.CapacityTokens,
 		UsedTokens:     e.used,
+		MaxRunning:     uint32(e.options.MaxBatch),
 		Leaving:        e.leaving,
 		Fence:          e.orders.fence,
 		Adapters:       e.orders.adapters,
--- a/upstream/enginehttp/engine_test.go
+++ b/upstream/enginehttp/engine_test.go
@@ -310,6 +310,7 @@
 		}
 		assert.Equal(t, report.Held[0], upstream.Work{Attempt: attempt, Tokens: 500})
 		assert.Equal(t, report.ReservedTokens, uint64(500))
+		assert.Equal(t, report.MaxRunning, uint32(enginestub.DefaultOptions().MaxBatch))
 		return poll.Success()
 	}, poll.WithDelay(time.Millisecond))
 	prefixes := upstream.PrefixDigests(prompt)
--- a/upstream/enginewire/report.go
+++ b/upstream/enginewire/report.go
@@ -19,6 +19,7 @@
 	CapacityTokens uint64       `json:"capacity_tokens"`
 	UsedTokens     uint64       `json:"used_tokens"`
 	ReservedTokens uint64       `json:"reserved_tokens"`
+	MaxRunning     uint32       `json:"max_running,omitempty"`
 	Running        []Work       `json:"running,omitempty"`
 	Waiting        []Work       `json:"waiting,omitempty"`
 	Held           []Work       `json:"held,omitempty"`
@@ -57,6 +58,7 @@
 		CapacityTokens: r.CapacityTokens,
 		UsedTokens:     r.UsedTokens,
 		ReservedTokens: r.ReservedTokens,
+		MaxRunning:     r.MaxRunning,
 		Running:        workList(r.Running),
 		Waiting:        workList(r.Waiting),
 		Held:           workList(r.Held),
--- a/upstream/report.go
+++ b/upstream/report.go
@@ -26,6 +26,7 @@
 	CapacityTokens uint64 // KV memory
 	UsedTokens     uint64 // of running and held work, reservations included
 	ReservedTokens uint64 // reserved and not yet computed
+	MaxRunning     uint32 // streams that fit into the batch; zero if the engine does not say
 	Running        []Work // streams in the batch
 	Waiting        []Work // streams without memory yet
 	Held           []Work // reservations and exported parts
