--- a/cmd/citronload/run.go
+++ b/cmd/citronload/run.go
@@ -63,7 +63,7 @@
 	if len(w.Alone) > 0 {
 		// Other prompts, so that the mixed run finds none of them in a cache.
 		runner.Prompts = ^c.Seed
-		alone = runner.Run(ctx, w.Only(arrivals, w.Alone))
+		alone = runner.WithFreshPrompts().Run(ctx, w.Only(arrivals, w.Alone))
 	}
 	runner.Prompts = c.Seed
 	started := time.Now()
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -272,6 +272,16 @@
 	assert.NilError(t, err)
 }
 
+func TestFreshPromptsShareNothing(t *testing.T) {
+	runner := &Runner{Workload: testWorkload(), Seed: 1}
+	fresh := runner.WithFreshPrompts()
+	for _, arrival := range runner.Workload.Arrivals(1, 1)[:20] {
+		a, b := runner.Workload.Prompt(arrival, runner.Seed), runner.Workload.Prompt(arrival, fresh.Seed)
+		assert.Equal(t, len(a), len(b))
+		assert.Assert(t, a[:64] != b[:64])
+	}
+}
+
 func TestFairnessIndex(t *testing.T) {
 	assert.Equal(t, fairness([]TeamRow{{Sent: 1, InTimeShare: 0.5}, {Sent: 1, InTimeShare: 0.5}, {}}), 1.0)
 	assert.Equal(t, fairness([]TeamRow{{Sent: 1, InTimeShare: 1}, {Sent: 1}}), 0.5)
--- a/internal/load/runner.go
+++ b/internal/load/runner.go
@@ -31,6 +31,14 @@
 	Caller   *Caller
 }
 
+// WithFreshPrompts returns a runner that sends other prompts of the same
+// lengths at the same times, so that no prefix cache knows them from this one.
+func (r *Runner) WithFreshPrompts() *Runner {
+	fresh := *r
+	fresh.Seed = ^r.Seed
+	return &fresh
+}
+
 // Result is the outcome of one arrival.
 type Result struct {
 	Arrival Arrival
