gateway: a caller that sends too large a body gets the refusal

The host refused by the declared length without reading and closed, so the caller, still sending, met a reset connection: TestHostileInputRunsNothing/ large_body failed in four of four runs with 'write: connection reset by peer'. Reading on up to the size limit was not enough: a body of 17 MB left 1 MB, more than net/http drains itself.

--- a/gateway/request.go
+++ b/gateway/request.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -94,6 +95,7 @@
 // readBody reads the whole body within the size, time and memory limits.
 func (g *Gateway) readBody(x *exchange) ([]byte, error) {
 	if x.r.ContentLength > g.limits.MaxBodyBytes {
+		g.discardBody(x)
 		return nil, code.New(code.BodyTooLarge, "body has %d bytes, limit is %d", x.r.ContentLength, g.limits.MaxBodyBytes)
 	}
 	control := http.NewResponseController(x.w)
@@ -104,6 +106,17 @@
 	return body, err
 }
 
+// discardBody reads a body that is refused, up to twice the size limit. A caller
+// that is still sending when the connection closes sees a reset and not the
+// refusal.
+func (g *Gateway) discardBody(x *exchange) {
+	control := http.NewResponseController(x.w)
+	// Writers that don't support deadlines are only used in tests.
+	_ = control.SetReadDeadline(time.Now().Add(g.limits.ReadTimeout))
+	_, _ = io.CopyN(io.Discard, x.r.Body, 2*g.limits.MaxBodyBytes)
+	_ = control.SetReadDeadline(time.Time{})
+}
+
 // deadline returns the absolute deadline of the request.
 func (g *Gateway) deadline(x *exchange) (time.Time, error) {
 	var asked time.Duration
