--- /dev/null
+++ b/host/dump_test.go
@@ -0,0 +1,90 @@
+package host
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"gotest.tools/v3/assert"
+
+	operatorv1 "github.com/citronscale/citronscale/api/operator/v1"
+	"github.com/citronscale/citronscale/internal/stub/enginestub"
+)
+
+var snakeCase = regexp.MustCompile(`^[a-z]+(_[a-z]+)*$`)
+
+// checkNames fails for each member name that is not in snake case.
+func checkNames(t *testing.T, path string, value any) {
+	t.Helper()
+	switch v := value.(type) {
+	case map[string]any:
+		for name, inner := range v {
+			assert.Assert(t, snakeCase.MatchString(name), "%s.%s", path, name)
+			checkNames(t, path+"."+name, inner)
+		}
+	case []any:
+		for i, inner := range v {
+			checkNames(t, fmt.Sprintf("%s[%d]", path, i), inner)
+		}
+	}
+}
+
+// TestDumpHoldsEveryPartAndNoSecret dumps a host that runs one stream, has one
+// request in its queue and one used key.
+func TestDumpHoldsEveryPartAndNoSecret(t *testing.T) {
+	options := enginestub.DefaultOptions()
+	options.CapacityTokens = 4_000
+	fleet := newFleet(t, options, "queue_time_ms = 20_000")
+	h := fleet.startReady("host-1")
+	keys, err := h.IssueKeys(testTeam, 1)
+	assert.NilError(t, err)
+	booked := h.post("/services/booking/bookings", `{"pallet":7}`, "Idempotency-Key", keys[0])
+	assert.NilError(t, booked.Body.Close())
+	assert.Equal(t, booked.StatusCode, http.StatusOK)
+	first := h.post("/v1/completions", completionOf(100, 3_000, true))
+	defer func() { _ = first.Body.Close() }()
+	go func() {
+		if second, err := h.send("/v1/completions", strings.NewReader(completionOf(100, 3_000, true)), "Citron-Timeout", "3s"); err == nil {
+			_ = second.Body.Close()
+		}
+	}()
+	h.await("a request waits in the queue", func() bool { return len(h.dump(time.Now()).Queues) == 1 })
+	h.await("the account settles", func() bool {
+		owned := h.dump(time.Now()).Owned
+		return len(owned) == 1 && owned[0].ChargedTokens > 0
+	})
+
+	answer, err := (&operatorService{host: h.Host}).Dump(t.Context(), connect.NewRequest(&operatorv1.DumpRequest{}))
+	assert.NilError(t, err)
+	var parts map[string]any
+	assert.NilError(t, json.Unmarshal(answer.Msg.GetJson(), &parts))
+	checkNames(t, "dump", parts)
+	for _, name := range []string{"members", "upstreams", "owned_engines", "leases", "queues", "teams"} {
+		list, _ := parts[name].([]any)
+		assert.Assert(t, len(list) > 0, "%s is empty", name)
+	}
+	d := h.dump(time.Now())
+	assert.Equal(t, d.InFlight.Requests, 2)
+	assert.Equal(t, d.Keys.Used, 1)
+	assert.Assert(t, d.Keys.AnswerBytes > 0)
+	assert.Assert(t, d.Retries.Budget > 0)
+	text := string(answer.Msg.GetJson())
+	for _, secret := range []string{testToken, keys[0], "pallet pallet"} {
+		assert.Assert(t, !strings.Contains(text, secret))
+	}
+}
+
+// TestOwnHostIsAlwaysHeard reads the membership of a host that runs for a while.
+func TestOwnHostIsAlwaysHeard(t *testing.T) {
+	fleet := newFleet(t, enginestub.DefaultOptions())
+	h := fleet.startReady("host-1")
+	answer, err := (&operatorService{host: h.Host}).Hosts(t.Context(), connect.NewRequest(&operatorv1.HostsRequest{}))
+	assert.NilError(t, err)
+	assert.Equal(t, len(answer.Msg.GetHosts()), 1)
+	assert.Equal(t, answer.Msg.GetHosts()[0].GetHeardMsAgo(), uint64(0))
+}
--- a/host/operators.go
+++ b/host/operators.go
@@ -104,7 +104,7 @@
 		response.Hosts = append(response.Hosts, &operatorv1.HostRow{
 			Host: string(m.Host), Incarnation: uint64(m.Incarnation), FailureDomain: m.FailureDomain,
 			State: stateName(m.State), PeerAddress: m.PeerAddress, ConfigRevision: m.ConfigRevision,
-			HeardMsAgo: uint64(max(now.Sub(m.HeardAt), 0).Milliseconds()),
+			HeardMsAgo: uint64(heardAgo(now, &m).Milliseconds()),
 		})
 	}
 	return connect.NewResponse(response), nil
@@ -162,6 +162,15 @@
 	return known, up
 }
 
+// heardAgo returns the time since a member was heard. The host itself is always
+// heard, and so is a peer whose news is dated ahead of now.
+func heardAgo(now time.Time, m *membership.Member) time.Duration {
+	if m.Self {
+		return 0
+	}
+	return max(now.Sub(m.HeardAt), 0)
+}
+
 // countReady returns the number of members that are ready.
 func countReady(members []membership.Member) int {
 	ready := 0
