Host list: travels between hosts, and no host is ready without one

A host that started while the platform was down got its configuration from a peer and became ready with 0 upstreams, so the balancer sent it callers that it could only refuse.

A host without a host list is not ready. The answer states the age since the platform was read, which counts from the question, so a list never seems newer by being handed on, and an older one never replaces a newer one. Clocks of hosts are not compared. Hosts of an older build answer that the method does not exist; the next peer is asked.

Ruled out: lists in heartbeats, which would carry 20 upstreams twice a second for a case that is rare; being not ready alone, because then an outage of the host list stops every rolling restart.

Red first, without both: TestHostStartsWhileThePlatformIsDown is ready with 0 upstreams; TestHostWithoutHostListIsNotReady may be ready. Green with -race.

--- a/api/peer/v1/peerv1connect/peer.connect.go
+++ b/api/peer/v1/peerv1connect/peer.connect.go
@@ -38,6 +38,8 @@
 	PeerServiceHeartbeatProcedure = "/citronscale.peer.v1.PeerService/Heartbeat"
 	// PeerServiceFetchConfigProcedure is the fully-qualified name of the PeerService's FetchConfig RPC.
 	PeerServiceFetchConfigProcedure = "/citronscale.peer.v1.PeerService/FetchConfig"
+	// PeerServiceFetchHostsProcedure is the fully-qualified name of the PeerService's FetchHosts RPC.
+	PeerServiceFetchHostsProcedure = "/citronscale.peer.v1.PeerService/FetchHosts"
 	// PeerServiceLeaseProcedure is the fully-qualified name of the PeerService's Lease RPC.
 	PeerServiceLeaseProcedure = "/citronscale.peer.v1.PeerService/Lease"
 	// PeerServiceForwardKeyedProcedure is the fully-qualified name of the PeerService's ForwardKeyed
@@ -54,6 +56,9 @@
 	// FetchConfig returns the chunks of the configuration in force that the
 	// asking host lacks.
 	FetchConfig(context.Context, *connect.Request[v1.FetchConfigRequest]) (*connect.Response[v1.FetchConfigResponse], error)
+	// FetchHosts returns the host list that the answering host goes by. A host
+	// asks for it while it can't read the platform's own.
+	FetchHosts(context.Context, *connect.Request[v1.FetchHostsRequest]) (*connect.Response[v1.FetchHostsResponse], error)
 	// Lease asks the owner of an engine for capacity.
 	Lease(context.Context, *connect.Request[v1.LeaseRequest]) (*connect.Response[v1.LeaseResponse], error)
 	// ForwardKeyed hands a keyed call to the host that issued its key.
@@ -85,6 +90,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("FetchConfig")),
 			connect.WithClientOptions(opts...),
 		),
+		fetchHosts: connect.NewClient[v1.FetchHostsRequest, v1.FetchHostsResponse](
+			httpClient,
+			baseURL+PeerServiceFetchHostsProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("FetchHosts")),
+			connect.WithClientOptions(opts...),
+		),
 		lease: connect.NewClient[v1.LeaseRequest, v1.LeaseResponse](
 			httpClient,
 			baseURL+PeerServiceLeaseProcedure,
@@ -110,6 +121,7 @@
 type peerServiceClient struct {
 	heartbeat    *connect.Client[v1.HeartbeatRequest, v1.HeartbeatResponse]
 	fetchConfig  *connect.Client[v1.FetchConfigRequest, v1.FetchConfigResponse]
+	fetchHosts   *connect.Client[v1.FetchHostsRequest, v1.FetchHostsResponse]
 	lease        *connect.Client[v1.LeaseRequest, v1.LeaseResponse]
 	forwardKeyed *connect.Client[v1.ForwardKeyedRequest, v1.ForwardKeyedResponse]
 	trace        *connect.Client[v1.TraceRequest, v1.TraceResponse]
@@ -125,6 +137,11 @@
 	return c.fetchConfig.CallUnary(ctx, req)
 }
 
+// FetchHosts calls citronscale.peer.v1.PeerService.FetchHosts.
+func (c *peerServiceClient) FetchHosts(ctx context.Context, req *connect.Request[v1.FetchHostsRequest]) (*connect.Response[v1.FetchHostsResponse], error) {
+	return c.fetchHosts.CallUnary(ctx, req)
+}
+
 // Lease calls citronscale.peer.v1.PeerService.Lease.
 func (c *peerServiceClient) Lease(ctx context.Context, req *connect.Request[v1.LeaseRequest]) (*connect.Response[v1.LeaseResponse], error) {
 	return c.lease.CallUnary(ctx, req)
@@ -147,6 +164,9 @@
 	// FetchConfig returns the chunks of the configuration in force that the
 	// asking host lacks.
 	FetchConfig(context.Context, *connect.Request[v1.FetchConfigRequest]) (*connect.Response[v1.FetchConfigResponse], error)
+	// FetchHosts returns the host list that the answering host goes by. A host
+	// asks for it while it can't read the platform's own.
+	FetchHosts(context.Context, *connect.Request[v1.FetchHostsRequest]) (*connect.Response[v1.FetchHostsResponse], error)
 	// Lease asks the owner of an engine for capacity.
 	Lease(context.Context, *connect.Request[v1.LeaseRequest]) (*connect.Response[v1.LeaseResponse], error)
 	// ForwardKeyed hands a keyed call to the host that issued its key.
@@ -174,6 +194,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("FetchConfig")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceFetchHostsHandler := connect.NewUnaryHandler(
+		PeerServiceFetchHostsProcedure,
+		svc.FetchHosts,
+		connect.WithSchema(peerServiceMethods.ByName("FetchHosts")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerServiceLeaseHandler := connect.NewUnaryHandler(
 		PeerServiceLeaseProcedure,
 		svc.Lease,
@@ -198,6 +224,8 @@
 			peerServiceHeartbeatHandler.ServeHTTP(w, r)
 		case PeerServiceFetchConfigProcedure:
 			peerServiceFetchConfigHandler.ServeHTTP(w, r)
+		case PeerServiceFetchHostsProcedure:
+			peerServiceFetchHostsHandler.ServeHTTP(w, r)
 		case PeerServiceLeaseProcedure:
 			peerServiceLeaseHandler.ServeHTTP(w, r)
 		case PeerServiceForwardKeyedProcedure:
@@ -221,6 +249,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("citronscale.peer.v1.PeerService.FetchConfig is not implemented"))
 }
 
+func (UnimplementedPeerServiceHandler) FetchHosts(context.Context, *connect.Request[v1.FetchHostsRequest]) (*connect.Response[v1.FetchHostsResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("citronscale.peer.v1.PeerService.FetchHosts is not implemented"))
+}
+
 func (UnimplementedPeerServiceHandler) Lease(context.Context, *connect.Request[v1.LeaseRequest]) (*connect.Response[v1.LeaseResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("citronscale.peer.v1.PeerService.Lease is not implemented"))
 }
--- a/host/configuration.go
+++ b/host/configuration.go
@@ -110,9 +110,13 @@
 }
 
 // mayBeReady reports whether a starting host knows enough to admit requests.
+// Without a host list it knows no upstream.
 func (a *agreement) mayBeReady(now time.Time) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if !a.listed {
+		return false
+	}
 	start := revision.Start{Since: a.started, Listed: a.listed, Settled: a.table.Settled(now)}
 	for _, m := range a.table.Members() {
 		if m.Self || m.HeardAt.IsZero() || m.State == membership.Failed {
--- a/host/host.go
+++ b/host/host.go
@@ -34,6 +34,7 @@
 	agreement   *agreement
 	directory   *directory.Directory
 	platform    *platformReader
+	hosts       hostList
 	placement   *placement
 	tls         *tlsfiles.Pair // nil without certificates
 	peers       *peerClients
--- a/host/lifecycle.go
+++ b/host/lifecycle.go
@@ -74,7 +74,7 @@
 	case chart.ProcessStopped:
 		return code.New(code.HostLeaving, "host has stopped")
 	default:
-		return code.New(code.HostNotReady, "host has no configuration in force")
+		return code.New(code.HostNotReady, "host has no configuration in force or no host list")
 	}
 }
 
--- a/host/peers.go
+++ b/host/peers.go
@@ -47,6 +47,15 @@
 	return connect.NewResponse(response), nil
 }
 
+// FetchHosts implements peerv1connect.PeerServiceHandler.
+func (s *peerService) FetchHosts(context.Context, *connect.Request[peerv1.FetchHostsRequest]) (*connect.Response[peerv1.FetchHostsResponse], error) {
+	response, ok := s.host.hosts.response(time.Now())
+	if !ok {
+		return nil, connect.NewError(connect.CodeNotFound, code.New(code.HostNotReady, "no host list was read"))
+	}
+	return connect.NewResponse(response), nil
+}
+
 // Lease implements peerv1connect.PeerServiceHandler.
 func (s *peerService) Lease(ctx context.Context, r *connect.Request[peerv1.LeaseRequest]) (*connect.Response[peerv1.LeaseResponse], error) {
 	return connect.NewResponse(s.host.handleLease(ctx, r.Msg)), nil
--- a/host/platform.go
+++ b/host/platform.go
@@ -118,15 +118,23 @@
 // pollHostList reads the host list again and again.
 func (h *Host) pollHostList(ctx context.Context) {
 	for ctx.Err() == nil {
-		if list, err := h.platform.Hosts(ctx); err == nil {
-			h.useHostList(list)
+		list, err := h.platform.Hosts(ctx)
+		switch {
+		case err == nil:
+			h.useHostList(list, time.Now())
+		case h.hosts.age(time.Now()) > maxHostListAge:
+			h.fetchHosts(ctx)
 		}
 		pause(ctx, jitter(hostListPeriod))
 	}
 }
 
-// useHostList hands a host list to the parts that need it.
-func (h *Host) useHostList(list []platform.Entry) {
+// useHostList hands a host list to the parts that need it, unless a newer one
+// is in use. The list was read from the platform at readAt.
+func (h *Host) useHostList(list []platform.Entry, readAt time.Time) {
+	if !h.hosts.replace(list, readAt) {
+		return
+	}
 	now := time.Now()
 	h.noteUpstreams(h.directory.UpdateList(now, list))
 	h.agreement.useHostList(now, list)
