--- a/host/attempts.go
+++ b/host/attempts.go
@@ -120,7 +120,7 @@
 				return verdict, func() { h.strikes.endTrial(r.content) }, nil
 			}
 			if !waits {
-				r.noteQueued("suspect content waits to run alone")
+				r.noteQueued("another copy of suspect content runs")
 			}
 		default:
 			return verdict, func() {}, nil
@@ -138,8 +138,7 @@
 	if err != nil {
 		return nil, err
 	}
-	queued := func() { r.noteQueued("no engine has room") }
-	p, err := h.placeByVerdict(ctx, request, verdict, queued)
+	p, err := h.placeByVerdict(ctx, request, verdict, r.noteQueued)
 	if err != nil {
 		endTrial()
 		return nil, err
@@ -156,8 +155,8 @@
 
 // placeByVerdict keeps suspects apart: spread content avoids engines that run
 // other suspects of this host, as long as another engine is left, and isolated
-// content gets an engine of its own. Before it waits it calls queued.
-func (h *Host) placeByVerdict(ctx context.Context, request *balancer.Request, verdict strike.Verdict, queued func()) (*placed, error) {
+// content gets an engine of its own.
+func (h *Host) placeByVerdict(ctx context.Context, request *balancer.Request, verdict strike.Verdict, queued func(reason string)) (*placed, error) {
 	switch verdict {
 	case strike.Spread:
 		apart := *request
@@ -168,8 +167,7 @@
 		return h.placeCompletion(ctx, request, queued)
 	case strike.Isolate:
 		h.placement.isolate(request)
-		queued()
-		return h.placeAlone(ctx, request)
+		return h.placeAlone(ctx, request, queued)
 	default:
 		return h.placeCompletion(ctx, request, queued)
 	}
@@ -177,13 +175,16 @@
 
 // placeAlone waits for an engine without other work. It does not queue: a
 // waiter that asks for a whole engine would hold up all behind it.
-func (h *Host) placeAlone(ctx context.Context, request *balancer.Request) (*placed, error) {
+func (h *Host) placeAlone(ctx context.Context, request *balancer.Request, queued func(reason string)) (*placed, error) {
 	queueTime, _ := h.queuePolicy(request.Team)
 	end := time.Now().Add(queueTime)
-	for time.Now().Before(end) && ctx.Err() == nil {
+	for waits := false; time.Now().Before(end) && ctx.Err() == nil; waits = true {
 		if p, err := h.tryPlace(ctx, request); p != nil || err != nil {
 			return p, err
 		}
+		if !waits {
+			queued("suspect content waits for an engine of its own")
+		}
 		pause(ctx, trialPoll)
 	}
 	return nil, code.New(code.NoCapacity, "no engine was free for content that has to run alone")
--- a/host/placement.go
+++ b/host/placement.go
@@ -175,7 +175,7 @@
 
 // placeCompletion returns an engine with room for the request. It fails once
 // the queue time or the deadline has passed. Before it waits it calls queued.
-func (h *Host) placeCompletion(ctx context.Context, request *balancer.Request, queued func()) (*placed, error) {
+func (h *Host) placeCompletion(ctx context.Context, request *balancer.Request, queued func(reason string)) (*placed, error) {
 	if h.placement.needsGang(request, h.fleetPolicy().ShortShare) {
 		return h.placeGang(ctx, request)
 	}
@@ -184,7 +184,7 @@
 			return p, err
 		}
 	}
-	queued()
+	queued("no engine has room")
 	return h.waitForPlace(ctx, request)
 }
 
