--- a/internal/processtest/faults_test.go
+++ b/internal/processtest/faults_test.go
@@ -19,6 +19,7 @@
 	faultMixDuration = 5 * time.Second
 	// stopMixDuration exceeds the time in which a leaving host still admits.
 	stopMixDuration = 9 * time.Second
+	stopTimeout     = 30 * time.Second
 )
 
 // shortMix is the mix without prompts that exceed one engine.
@@ -47,6 +48,18 @@
 	return w, results, bookings
 }
 
+// stop asks the daemon to stop and returns its exit code.
+func (h *hostNode) stop(t *testing.T) int {
+	t.Helper()
+	assert.NilError(t, h.command.Process.Signal(syscall.SIGTERM))
+	select {
+	case <-h.exited:
+	case <-time.After(stopTimeout):
+		t.Fatalf("%s did not stop within %v", h.name, stopTimeout)
+	}
+	return h.command.ProcessState.ExitCode()
+}
+
 // A planned stop cuts off no request: the host finishes what it has admitted.
 func TestPlannedStopCutsNothing(t *testing.T) {
 	f := startFleet(t, 3, 4)
--- a/internal/processtest/fleet_test.go
+++ b/internal/processtest/fleet_test.go
@@ -30,7 +30,6 @@
 	loopback     = "127.0.0.1:0"
 	testModel    = "citron-base"
 	readyTimeout = 30 * time.Second
-	stopTimeout  = 30 * time.Second
 )
 
 // engineNode is an engine stand-in and its server.
