--- a/gateway/request.go
+++ b/gateway/request.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -47,11 +48,12 @@
 // withTeam authenticates the caller, runs handle and renders its error.
 func (g *Gateway) withTeam(kind string, handle exchangeHandler) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		x := &exchange{w: &responseWriter{ResponseWriter: w}, r: r, kind: kind, id: g.backend.NewRequest(), started: time.Now(), memory: g.pool.Reserve()}
+		started := time.Now()
+		team, err := g.identify(r)
+		x := &exchange{w: &responseWriter{ResponseWriter: w}, r: r, kind: kind, id: g.backend.NewRequest(team), team: team, started: started, memory: g.pool.Reserve()}
 		defer x.memory.Release()
-		x.outcome = Outcome{Request: x.id, Kind: kind, Started: x.started}
+		x.outcome = Outcome{Request: x.id, Kind: kind, Team: team, Started: started}
 		w.Header().Set(headerRequestID, x.id.String())
-		err := g.admit(x)
 		if err == nil {
 			err = handle(x)
 		}
@@ -59,18 +61,17 @@
 	}
 }
 
-// admit refuses a request that the host can't serve or whose team is unknown.
-func (g *Gateway) admit(x *exchange) error {
+// identify returns the team of a request. It refuses a request that the host
+// can't serve or whose team is not known; the team is empty in the latter case.
+func (g *Gateway) identify(r *http.Request) (team string, err error) {
+	team, known := g.backend.Authenticate(bearerToken(r))
 	if err := g.backend.Ready(); err != nil {
-		return err
+		return team, err
 	}
-	team, ok := g.backend.Authenticate(bearerToken(x.r))
-	if !ok {
-		return code.New(code.TeamTokenInvalid, "bearer token is missing or belongs to no team")
+	if !known {
+		return "", code.New(code.TeamTokenInvalid, "bearer token is missing or belongs to no team")
 	}
-	x.team = team
-	x.outcome.Team = team
-	return nil
+	return team, nil
 }
 
 func (g *Gateway) finish(x *exchange, err error) {
@@ -78,9 +79,11 @@
 	x.outcome.Took = time.Since(x.started)
 	if err != nil {
 		x.outcome.Detail = err.Error()
+	}
+	g.backend.Finished(&x.outcome) // before the caller can ask for the trace
+	if err != nil {
 		writeProblem(x, err)
 	}
-	g.backend.Finished(&x.outcome)
 }
 
 func bearerToken(r *http.Request) string {
@@ -94,6 +97,7 @@
 // readBody reads the whole body within the size, time and memory limits.
 func (g *Gateway) readBody(x *exchange) ([]byte, error) {
 	if x.r.ContentLength > g.limits.MaxBodyBytes {
+		g.discardBody(x)
 		return nil, code.New(code.BodyTooLarge, "body has %d bytes, limit is %d", x.r.ContentLength, g.limits.MaxBodyBytes)
 	}
 	control := http.NewResponseController(x.w)
@@ -104,6 +108,17 @@
 	return body, err
 }
 
+// discardBody reads a body that is refused, up to twice the size limit. A caller
+// that is still sending when the connection closes sees a reset and not the
+// refusal.
+func (g *Gateway) discardBody(x *exchange) {
+	control := http.NewResponseController(x.w)
+	// Writers that don't support deadlines are only used in tests.
+	_ = control.SetReadDeadline(time.Now().Add(g.limits.ReadTimeout))
+	_, _ = io.CopyN(io.Discard, x.r.Body, 2*g.limits.MaxBodyBytes)
+	_ = control.SetReadDeadline(time.Time{})
+}
+
 // deadline returns the absolute deadline of the request.
 func (g *Gateway) deadline(x *exchange) (time.Time, error) {
 	var asked time.Duration
