host: content that has to run alone waits up to its deadline for an engine

TestCrashingPromptIsRefused sends a prompt that crashes every engine through all hosts in turn, beside 30 other requests; engines are started again.

Not exact yet: another host can hold the last tenth of an engine.

--- a/host/attempts.go
+++ b/host/attempts.go
@@ -170,12 +170,10 @@
 	}
 }
 
-// placeAlone waits for an engine without other work. It does not queue: a
-// waiter that asks for a whole engine would hold up all behind it.
+// placeAlone waits for an engine without other work, up to the deadline. It does
+// not queue: a waiter that asks for a whole engine would hold up all behind it.
 func (h *Host) placeAlone(ctx context.Context, request *balancer.Request) (*placed, error) {
-	queueTime, _ := h.queuePolicy(request.Team)
-	end := time.Now().Add(queueTime)
-	for time.Now().Before(end) && ctx.Err() == nil {
+	for time.Now().Before(request.Deadline) && ctx.Err() == nil {
 		if p, err := h.tryPlace(ctx, request); p != nil || err != nil {
 			return p, err
 		}
