--- a/host/attempts.go
+++ b/host/attempts.go
@@ -23,7 +23,7 @@
 
 // generate sends an attempt to its engine or engines.
 func (h *Host) generate(ctx context.Context, p *placed, c *gateway.Completion, a attempt.Send) (upstream.Stream, error) {
-	tokens := upstream.CountTokens(c.Prompt)
+	tokens := c.PromptTokens
 	request := &upstream.GenerateRequest{
 		Attempt: a.Attempt, Model: c.Model, Prompt: c.Prompt, PromptTokens: tokens, MaxTokens: c.MaxTokens,
 		Priority: h.priority(tokens), ResumeOffset: a.ResumeOffset, ResumeText: a.ResumeText,
@@ -109,7 +109,7 @@
 // against it, one copy at a time if it is suspect. It fails if the content is
 // refused. The returned function ends a trial.
 func (h *Host) awaitVerdict(ctx context.Context, r *completionRun) (verdict strike.Verdict, end func(), err error) {
-	for {
+	for waits := false; ; waits = true {
 		verdict := h.strikes.judge(time.Now(), r.content)
 		switch verdict {
 		case strike.Refuse:
@@ -119,6 +119,9 @@
 			if h.strikes.startTrial(r.content, verdict) {
 				return verdict, func() { h.strikes.endTrial(r.content) }, nil
 			}
+			if !waits {
+				r.noteQueued("suspect content waits to run alone")
+			}
 		default:
 			return verdict, func() {}, nil
 		}
@@ -135,7 +138,8 @@
 	if err != nil {
 		return nil, err
 	}
-	p, err := h.placeByVerdict(ctx, request, verdict)
+	queued := func() { r.noteQueued("no engine has room") }
+	p, err := h.placeByVerdict(ctx, request, verdict, queued)
 	if err != nil {
 		endTrial()
 		return nil, err
@@ -152,8 +156,8 @@
 
 // placeByVerdict keeps suspects apart: spread content avoids engines that run
 // other suspects of this host, as long as another engine is left, and isolated
-// content gets an engine of its own.
-func (h *Host) placeByVerdict(ctx context.Context, request *balancer.Request, verdict strike.Verdict) (*placed, error) {
+// content gets an engine of its own. Before it waits it calls queued.
+func (h *Host) placeByVerdict(ctx context.Context, request *balancer.Request, verdict strike.Verdict, queued func()) (*placed, error) {
 	switch verdict {
 	case strike.Spread:
 		apart := *request
@@ -161,12 +165,13 @@
 		if len(h.placement.candidates(&apart)) > 0 {
 			request = &apart
 		}
-		return h.placeCompletion(ctx, request)
+		return h.placeCompletion(ctx, request, queued)
 	case strike.Isolate:
 		h.placement.isolate(request)
+		queued()
 		return h.placeAlone(ctx, request)
 	default:
-		return h.placeCompletion(ctx, request)
+		return h.placeCompletion(ctx, request, queued)
 	}
 }
 
--- a/internal/processtest/fleet_test.go
+++ b/internal/processtest/fleet_test.go
@@ -10,7 +10,6 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
@@ -228,24 +227,32 @@
 	return string(data[max(0, len(data)-shown):])
 }
 
+// logOf returns the log lines of all hosts that name a request.
+func (f *fleet) logOf(requestID string) string {
+	if requestID == "" {
+		return ""
+	}
+	var found strings.Builder
+	for _, host := range f.hosts {
+		data, err := os.ReadFile(filepath.Join(f.directory, host.name+".log"))
+		if err != nil {
+			continue
+		}
+		for line := range strings.Lines(string(data)) {
+			if strings.Contains(line, requestID+".") || strings.Contains(line, requestID+`"`) {
+				found.WriteString(line)
+			}
+		}
+	}
+	return found.String()
+}
+
 // kill ends the daemon at once and waits until it is gone.
 func (h *hostNode) kill() {
 	_ = h.command.Process.Kill()
 	<-h.exited
 }
 
-// stop asks the daemon to stop and returns its exit code.
-func (h *hostNode) stop(t *testing.T) int {
-	t.Helper()
-	assert.NilError(t, h.command.Process.Signal(syscall.SIGTERM))
-	select {
-	case <-h.exited:
-	case <-time.After(stopTimeout):
-		t.Fatalf("%s did not stop within %v", h.name, stopTimeout)
-	}
-	return h.command.ProcessState.ExitCode()
-}
-
 func (h *hostNode) waitReady(t *testing.T) {
 	t.Helper()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
