--- a/host/fleet_test.go
+++ b/host/fleet_test.go
@@ -25,6 +25,7 @@
 	"github.com/citronscale/citronscale/internal/stub/platformstub"
 	"github.com/citronscale/citronscale/internal/stub/servicestub"
 	"github.com/citronscale/citronscale/internal/stub/stubhttp"
+	"github.com/citronscale/citronscale/internal/testport"
 	"github.com/citronscale/citronscale/platform/httpsource"
 	"github.com/citronscale/citronscale/settings"
 )
@@ -98,13 +99,12 @@
 	once   sync.Once
 }
 
-// freeAddress returns a loopback address with a port that the system chose.
+// freeAddress returns a loopback address that nothing listens at.
 func freeAddress(t *testing.T) netip.AddrPort {
 	t.Helper()
-	socket, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := testport.Address()
 	assert.NilError(t, err)
-	defer func() { assert.NilError(t, socket.Close()) }()
-	return netip.MustParseAddrPort(socket.Addr().String())
+	return netip.MustParseAddrPort(address)
 }
 
 // settings returns the settings of a host that the host list names from now on.
--- a/internal/processtest/fleet_test.go
+++ b/internal/processtest/fleet_test.go
@@ -22,6 +22,7 @@
 	"github.com/citronscale/citronscale/internal/stub/platformstub"
 	"github.com/citronscale/citronscale/internal/stub/servicestub"
 	"github.com/citronscale/citronscale/internal/stub/stubhttp"
+	"github.com/citronscale/citronscale/internal/testport"
 	"github.com/citronscale/citronscale/platform"
 	"github.com/citronscale/citronscale/platform/httpsource"
 )
@@ -171,10 +172,10 @@
 
 // freeAddress returns an address that nothing listens at.
 func freeAddress(t *testing.T) string {
-	listener, err := net.Listen("tcp", loopback)
+	t.Helper()
+	address, err := testport.Address()
 	assert.NilError(t, err)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	return address
 }
 
 func (f *fleet) startHost(t *testing.T, host *hostNode, failureDomain string) {
--- a/internal/proctest/fleet_test.go
+++ b/internal/proctest/fleet_test.go
@@ -16,6 +16,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/citronscale/citronscale/internal/testport"
 	"github.com/citronscale/citronscale/platform/httpsource"
 )
 
@@ -117,11 +118,12 @@
 	entries   httpsource.List
 }
 
+// freeAddress returns an address that nothing listens at.
 func freeAddress(t *testing.T) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	t.Helper()
+	address, err := testport.Address()
 	assert.NilError(t, err)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	return address
 }
 
 func newFleet(t *testing.T) *fleet {
