Slow callers and planned stops: bounded on both sides, with tests

Tests of whole hosts showed three faults. A refused request whose body came slowly, also one of an unknown caller, held its goroutine and connection for good: the server reads what is left of a body before it answers, and the read deadline was lifted or never set. A caller that does not take a whole answer, such as that of a plain service, held its memory for good, because only streams had a deadline of writes. A stopped host kept idle connections to engines.

Every body has its read deadline from the start of the request, lifted once it was read whole. A stop waits as long as both limits allow, in place of 5 s, after its last request.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -33,6 +35,16 @@
 	calls     []*ServiceCall
 	completed int
 	outcomes  []Outcome
+	endless   bool // answers never end
+}
+
+func (b *fakeBackend) deliverForever(sink Sink) error {
+	text := strings.Repeat("word ", 1<<14)
+	for {
+		if err := sink.Deliver(text, 1<<14); err != nil {
+			return err
+		}
+	}
 }
 
 func (b *fakeBackend) Ready() error                                    { return nil }
@@ -58,6 +70,9 @@
 }
 
 func (b *fakeBackend) Complete(_ context.Context, c *Completion, sink Sink) (*CompletionResult, error) {
+	if b.endless {
+		return nil, b.deliverForever(sink)
+	}
 	b.mu.Lock()
 	b.completed++
 	b.mu.Unlock()
@@ -231,3 +246,27 @@
 	assert.Equal(t, backend.outcomes[0].Team, "alpha")
 	assert.Assert(t, backend.outcomes[0].PromptTokens > 0)
 }
+
+// TestSlowReaderOfAStreamIsCutOff asks for a stream and reads nothing. The
+// request ends once the buffers are full and gives its memory back.
+func TestSlowReaderOfAStreamIsCutOff(t *testing.T) {
+	backend := &fakeBackend{endless: true}
+	pool := buffer.NewPool(8 << 20)
+	limits := Limits{MaxBodyBytes: 1 << 20, ReadTimeout: time.Minute, WriteTimeout: 200 * time.Millisecond}
+	ended := make(chan struct{})
+	gateway := New(backend, limits, pool, nil)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		gateway.ServeHTTP(w, r)
+		close(ended)
+	}))
+	defer server.Close()
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	body := `{"model":"small","prompt":"hi","stream":true}`
+	_, err = fmt.Fprintf(conn, "POST /v1/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", testToken, len(body), body)
+	assert.NilError(t, err)
+	<-ended
+	assert.Equal(t, backend.outcomes[0].Code, code.CallerGone)
+	assert.Equal(t, pool.Used(), int64(0))
+}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -49,10 +49,11 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		started := time.Now()
 		team, err := g.identify(r)
-		x := &exchange{w: &responseWriter{ResponseWriter: w}, r: r, kind: kind, id: g.backend.NewRequest(team), team: team, started: started, memory: g.pool.Reserve()}
+		x := &exchange{w: &responseWriter{ResponseWriter: w, timeout: g.limits.WriteTimeout}, r: r, kind: kind, id: g.backend.NewRequest(team), team: team, started: started, memory: g.pool.Reserve()}
 		defer x.memory.Release()
 		x.outcome = Outcome{Request: x.id, Kind: kind, Team: team, Started: started}
 		w.Header().Set(headerRequestID, x.id.String())
+		g.setDeadlines(x)
 		if err == nil {
 			err = handle(x)
 		}
@@ -98,12 +99,23 @@
 	if x.r.ContentLength > g.limits.MaxBodyBytes {
 		return nil, code.New(code.BodyTooLarge, "body has %d bytes, limit is %d", x.r.ContentLength, g.limits.MaxBodyBytes)
 	}
+	body, err := x.memory.ReadAll(x.r.Body, g.limits.MaxBodyBytes)
+	if err != nil {
+		return nil, err
+	}
+	x.w.bodyRead = true
+	_ = http.NewResponseController(x.w).SetReadDeadline(time.Time{})
+	return body, nil
+}
+
+// setDeadlines bounds the time for the body; the bound ends once the whole body
+// was read. A deadline of writes that the request before left on the connection
+// ends here.
+func (g *Gateway) setDeadlines(x *exchange) {
 	control := http.NewResponseController(x.w)
 	// Writers that don't support deadlines are only used in tests.
-	_ = control.SetReadDeadline(time.Now().Add(g.limits.ReadTimeout))
-	body, err := x.memory.ReadAll(x.r.Body, g.limits.MaxBodyBytes)
-	_ = control.SetReadDeadline(time.Time{})
-	return body, err
+	_ = control.SetReadDeadline(x.started.Add(g.limits.ReadTimeout))
+	_ = control.SetWriteDeadline(time.Time{})
 }
 
 // deadline returns the absolute deadline of the request.
--- a/host/host.go
+++ b/host/host.go
@@ -32,6 +32,7 @@
 	pool        *buffer.Pool
 	lifecycle   *lifecycle
 	agreement   *agreement
+	clients     *clients
 	directory   *directory.Directory
 	platform    *platformReader
 	hosts       hostList
@@ -68,6 +69,7 @@
 		Host: s.Host.Name, Incarnation: incarnation,
 		PeerAddress: s.Listen.Peers.String(), FailureDomain: s.Host.FailureDomain,
 	}
+	upstreams := newClients()
 	h := &Host{
 		settings:    s,
 		self:        s.Host.Name,
@@ -82,7 +84,8 @@
 		peers:       newPeerClients(clientTLS(pair), instruments),
 		strikes:     newStrikes(),
 		planner:     newPlanner(time.Now()),
-		directory:   directory.New(newClients()),
+		clients:     upstreams,
+		directory:   directory.New(upstreams),
 		platform:    newPlatformReader(s.Platform),
 		records:     newRecords(s.Host.Name, incarnation, s.Record.Capacity),
 		issuer:      newIssuer(s.Host.Name, incarnation, firstKeyLifetime),
@@ -190,7 +193,7 @@
 
 const (
 	idleCheckPeriod = 50 * time.Millisecond
-	shutdownTimeout = 5 * time.Second
+	shutdownMargin  = 5 * time.Second
 )
 
 func (h *Host) leavingGrace() time.Duration {
@@ -201,8 +204,12 @@
 	return cfg.Fleet().LeavingGrace
 }
 
+// shutdown closes the listeners. It waits for bodies that still arrive and for
+// answers that are still written, for as long as the limits allow either.
 func (h *Host) shutdown() {
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	limits := h.settings.Limits
+	timeout := limits.ReadTimeout.Std() + limits.WriteTimeout.Std() + shutdownMargin
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	for _, l := range h.listeners {
 		l.shutdown(ctx)
@@ -216,4 +223,5 @@
 	}
 	h.platform.close()
 	h.peers.close()
+	h.clients.engines.Close()
 }
