Ports of process tests below the range that systems choose from

Cause of 'listen ... address already in use' and of hosts that did not become ready in process tests: the tests took a free port from the system, gave it back and used it later, while other test processes took ports from the same range. Each test process has a block of its own below that range now.

--- a/host/fleet_test.go
+++ b/host/fleet_test.go
@@ -6,7 +6,6 @@
 	"encoding/base64"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"strings"
--- a/internal/processtest/fleet_test.go
+++ b/internal/processtest/fleet_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
--- a/internal/proctest/fleet_test.go
+++ b/internal/proctest/fleet_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
