--- a/gateway/service.go
+++ b/gateway/service.go
@@ -7,9 +7,10 @@
 	"strings"
 
 	"github.com/citronscale/citronscale/code"
+	"github.com/citronscale/citronscale/keyed"
 )
 
-const maxKeysPerCall = 1000
+const maxKeysPerCall = keyed.MaxKeysPerIssue
 
 // keysBody is the body of POST /v1/idempotency-keys.
 type keysBody struct {
--- a/host/agreement.go
+++ b/host/agreement.go
@@ -103,18 +103,41 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	probes := a.table.Tick(now)
-	a.settleOwners()
+	a.settleOwners(now)
 	return probes
 }
 
 // settleOwners recomputes who owns which engine. A host that can't trust its
 // view owns nothing and asks nobody.
-func (a *agreement) settleOwners() {
-	if !a.table.Settled(time.Now()) {
-		a.owners = ownership.New(nil)
-		return
+func (a *agreement) settleOwners(now time.Time) {
+	var hosts []ident.Host
+	if a.table.Settled(now) {
+		hosts = a.table.ReadyHosts()
 	}
-	a.owners = ownership.New(a.table.ReadyHosts())
+	if !a.owners.Covers(hosts) {
+		a.owners = ownership.New(hosts)
+	}
+}
+
+// announceTo returns heartbeats to some ready hosts, drawn at random.
+func (a *agreement) announceTo(now time.Time, count int) []membership.Probe {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	members := a.table.Members()
+	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+	var probes []membership.Probe
+	for _, m := range members {
+		if len(probes) == count {
+			break
+		}
+		if m.Self || m.State != membership.Ready {
+			continue
+		}
+		if probe, ok := a.table.Probe(now, m.Host); ok {
+			probes = append(probes, probe)
+		}
+	}
+	return probes
 }
 
 // refresh updates what the own record says.
--- a/host/attempts.go
+++ b/host/attempts.go
@@ -100,9 +100,7 @@
 	} else if failure := asUpstreamError(name, err); failure.Sent != upstream.SentNothing || ctx.Err() != nil {
 		return
 	}
-	if count := h.strikes.crashed(time.Now(), name, before); count > 0 {
-		h.log.Emit(event.ContentStruck).Str("upstream", string(name)).Str("request", r.c.Request.String()).Int("suspects", count).Msg("")
-	}
+	h.noteCrash(name, before)
 }
 
 // awaitVerdict waits until the content may run: at once if nothing speaks
--- a/host/configuration.go
+++ b/host/configuration.go
@@ -46,10 +46,13 @@
 // notePeerConfig compares the configuration that a peer states with the own one
 // and pulls a newer one.
 func (h *Host) notePeerConfig(peer *peerv1.HostRecord) {
-	if !h.agreement.peerAhead(time.Now(), peer) {
+	if !h.agreement.peerAhead(time.Now(), peer) || !h.fetching.CompareAndSwap(false, true) {
 		return
 	}
-	go h.fetchConfig(ident.Host(peer.GetHost()))
+	go func() {
+		defer h.fetching.Store(false)
+		h.fetchConfig(ident.Host(peer.GetHost()))
+	}()
 }
 
 // fetchConfig pulls the configuration in force at a peer.
--- a/host/engines.go
+++ b/host/engines.go
@@ -21,6 +21,7 @@
 
 	reportTimeout  = time.Second            // of one report
 	samplePeriod   = 100 * time.Millisecond // between two reports read from engines of other hosts
+	strikeFanout   = 16                     // hosts told at once that content crashed an engine
 	maxReportCalls = 16                     // reports read at once
 )
 
@@ -47,10 +48,16 @@
 }
 
 // noteCrash strikes the own content that ran on an incarnation of an engine
-// that ended.
+// that ended, and tells other hosts at once: the caller may send the content
+// again through any of them before the next heartbeat.
 func (h *Host) noteCrash(name upstream.Name, incarnation uint64) {
-	if count := h.strikes.crashed(time.Now(), name, incarnation); count > 0 {
-		h.log.Emit(event.ContentStruck).Str("upstream", string(name)).Int("suspects", count).Msg("")
+	count := h.strikes.crashed(time.Now(), name, incarnation)
+	if count == 0 {
+		return
+	}
+	h.log.Emit(event.ContentStruck).Str("upstream", string(name)).Int("suspects", count).Msg("")
+	for _, probe := range h.agreement.announceTo(time.Now(), strikeFanout) {
+		go h.sendProbe(context.Background(), probe, h.heartbeatPeriod())
 	}
 }
 
--- a/host/heartbeats.go
+++ b/host/heartbeats.go
@@ -16,7 +16,7 @@
 const (
 	defaultHeartbeat = 500 * time.Millisecond // before a configuration is in force
 	strikesPerBeat   = 16
-	teamsPerBeat     = 64
+	teamsPerBeat     = 16
 	pauseFactor      = 4 // heartbeat periods without a beat that count as a pause
 )
 
--- a/host/host.go
+++ b/host/host.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -34,6 +35,7 @@
 	agreement   *agreement
 	clients     *clients
 	directory   *directory.Directory
+	fetching    atomic.Bool // a configuration is being pulled from a peer
 	platform    *platformReader
 	hosts       hostList
 	placement   *placement
--- a/host/peerclients.go
+++ b/host/peerclients.go
@@ -17,7 +17,7 @@
 	peerDialTimeout = 500 * time.Millisecond
 	peerPingAfter   = 2 * time.Second // silence after which a connection is probed
 	peerPingTimeout = time.Second     // silence after a probe that closes a connection
-	peerIdleTimeout = 60 * time.Second
+	peerIdleTimeout = 10 * time.Second
 	maxPeerMessage  = 24 << 20 // bytes; a forwarded call carries a whole body
 )
 
