Isolated content gets a whole engine

Cause: content that has to run alone asked for 0.9 of an engine, so small work of another host could sit beside it; its crash then did not count as one alone, it was not refused, and each copy cost further engines. Now the host asks for all memory that may be lent, engine by engine, about once a second, which is longer than the lag of reports.

--- a/host/attempts.go
+++ b/host/attempts.go
@@ -10,6 +10,7 @@
 	"github.com/citronscale/citronscale/event"
 	"github.com/citronscale/citronscale/gateway"
 	"github.com/citronscale/citronscale/ident"
+	"github.com/citronscale/citronscale/lease"
 	"github.com/citronscale/citronscale/strike"
 	"github.com/citronscale/citronscale/upstream"
 )
@@ -17,6 +18,7 @@
 const (
 	cancelTimeout  = 2 * time.Second
 	crashProbe     = 500 * time.Millisecond // time for a report that tells a crash from a cut
+	alonePoll      = time.Second            // mean time between two tries to get an engine alone
 	trialPoll      = 20 * time.Millisecond  // between two tries to run isolated content alone
 	slowestPrefill = 2_000                  // tokens per second; an engine below it counts as silent
 )
@@ -164,7 +166,6 @@
 		}
 		return h.placeCompletion(ctx, request, queued)
 	case strike.Isolate:
-		h.placement.isolate(request)
 		return h.placeAlone(ctx, request, queued)
 	default:
 		return h.placeCompletion(ctx, request, queued)
@@ -175,13 +176,35 @@
 // not queue: a waiter that asks for a whole engine would hold up all behind it.
 func (h *Host) placeAlone(ctx context.Context, request *balancer.Request, queued func(reason string)) (*placed, error) {
 	for waits := false; time.Now().Before(request.Deadline) && ctx.Err() == nil; waits = true {
-		if p, err := h.tryPlace(ctx, request); p != nil || err != nil {
+		if p, err := h.tryAlone(ctx, request); p != nil || err != nil {
 			return p, err
 		}
 		if !waits {
 			queued("suspect content waits for an engine of its own")
 		}
-		pause(ctx, trialPoll)
+		pause(ctx, jitter(alonePoll))
 	}
 	return nil, code.New(code.NoCapacity, "no engine was free for content that has to run alone")
 }
+
+// tryAlone asks the owners of the candidates for all memory that may be lent of
+// their engines, which they have only while nothing else holds any.
+func (h *Host) tryAlone(ctx context.Context, request *balancer.Request) (*placed, error) {
+	names := h.placement.candidates(request)
+	if len(names) == 0 {
+		return nil, code.New(code.UpstreamUnavailable, "model %q has no usable engine", request.Model)
+	}
+	for _, name := range names {
+		whole := *request
+		h.placement.askWhole(&whole, name, h.upstreamPolicy(name).CapacityShare)
+		only := []upstream.Name{name}
+		if p, ok := h.placement.take(&whole, only); ok {
+			return p, nil
+		}
+		h.askOwner(ctx, lease.Line{Engine: name, Class: whole.Class}, whole.Memory())
+		if p, ok := h.placement.take(&whole, only); ok {
+			return p, nil
+		}
+	}
+	return nil, nil
+}
--- a/host/engines.go
+++ b/host/engines.go
@@ -190,7 +190,7 @@
 		return
 	}
 	booked := lease.ReportOf(report)
-	booked.CapacityTokens = uint64(policy.CapacityShare * float64(report.CapacityTokens))
+	booked.CapacityTokens = lendable(report.CapacityTokens, policy.CapacityShare)
 	booked.Leaving = booked.Leaving || !policy.AcceptWork || report.Version == ""
 	owner.Report(time.Now(), booked)
 }
--- a/host/placement.go
+++ b/host/placement.go
@@ -217,23 +217,20 @@
 	return nil, nil
 }
 
-// isolate makes a request ask for a whole engine, so that nothing else runs
-// beside it. It counts as short, because only the short class may use all.
-func (p *placement) isolate(request *balancer.Request) {
+// askWhole makes a request ask for all memory of an engine that may be lent. It
+// counts as short, because only the short class may use all.
+func (p *placement) askWhole(request *balancer.Request, name upstream.Name, capacityShare float64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var smallest uint64
-	for _, load := range p.set.Loads(request.Model) {
-		if smallest == 0 || load.CapacityTokens < smallest {
-			smallest = load.CapacityTokens
-		}
-	}
-	whole := uint64(isolationShare * float64(smallest))
+	load, _ := p.set.Load(name)
+	whole := lendable(load.CapacityTokens, capacityShare)
 	if whole > request.Memory() {
-		request.ReserveTokens = uint32(whole - request.Memory())
+		request.ReserveTokens += uint32(whole - request.Memory())
 	}
 	request.Class = balancer.ClassShort
 }
 
-// isolationShare is the part of an engine that isolated content asks for.
-const isolationShare = 0.9
+// lendable returns the memory of an engine that its owner may lend.
+func lendable(capacityTokens uint64, capacityShare float64) uint64 {
+	return uint64(capacityShare * float64(capacityTokens))
+}
