Hop-by-hop headers listed once

The caller face and the client of plain services each held the list and the loop over the Connection header.

--- a/gateway/service.go
+++ b/gateway/service.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"github.com/citronscale/citronscale/code"
+	"github.com/citronscale/citronscale/internal/endtoend"
 	"github.com/citronscale/citronscale/keyed"
 )
 
@@ -86,26 +87,11 @@
 	return path
 }
 
-// hopByHop lists the headers that concern one connection only (RFC 9110,
-// section 7.6.1).
-var hopByHop = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
 // forwardedHeader returns the headers that travel on: no hop-by-hop headers,
 // none that the Connection header names, none of the system's own, and not the
 // token of the team.
 func forwardedHeader(in http.Header) http.Header {
-	out := in.Clone()
-	for _, value := range in.Values("Connection") {
-		for name := range strings.SplitSeq(value, ",") {
-			out.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopByHop {
-		out.Del(name)
-	}
+	out := endtoend.Header(in)
 	for name := range out {
 		if strings.HasPrefix(name, ownHeaderPrefix) {
 			out.Del(name)
--- a/upstream/servicehttp/service.go
+++ b/upstream/servicehttp/service.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 
+	"github.com/citronscale/citronscale/internal/endtoend"
 	"github.com/citronscale/citronscale/internal/sentconn"
 	"github.com/citronscale/citronscale/upstream"
 	"github.com/citronscale/citronscale/upstream/enginewire"
@@ -52,7 +53,7 @@
 	if len(call.Body) == 0 {
 		req.Body = http.NoBody
 	}
-	req.Header = endToEndHeader(call.Header)
+	req.Header = endtoend.Header(call.Header)
 	req.Header.Set(enginewire.HeaderAttempt, call.Attempt.String())
 	return req, nil
 }
@@ -85,30 +86,7 @@
 	}
 	return &upstream.CallResponse{
 		Status: resp.StatusCode,
-		Header: endToEndHeader(resp.Header),
+		Header: endtoend.Header(resp.Header),
 		Body:   body,
 	}, nil
 }
-
-// hopByHop lists the headers that concern one connection only.
-var hopByHop = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
-// endToEndHeader returns a copy of header without hop-by-hop headers.
-func endToEndHeader(header http.Header) http.Header {
-	kept := header.Clone()
-	if kept == nil {
-		return http.Header{}
-	}
-	for _, line := range header.Values("Connection") {
-		for name := range strings.SplitSeq(line, ",") {
-			kept.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopByHop {
-		kept.Del(name)
-	}
-	return kept
-}
