--- a/lease/herd_test.go
+++ b/lease/herd_test.go
@@ -25,9 +25,9 @@
 	herdStep      = 5 * time.Millisecond
 	herdTime      = 60 * time.Second
 	herdLoad      = 0.6 // of the rate of all engines, mean
-	herdCrest     = 1.2 // the same during the crest
-	herdCrestFrom = 8 * time.Second
-	herdPeriod    = 20 * time.Second // crests last from herdCrestFrom+2 s for 5 s
+	herdPeak     = 1.2 // the same during the peak
+	herdPeakFrom = 8 * time.Second
+	herdPeriod    = 20 * time.Second // peaks last from herdPeakFrom+2 s for 5 s
 	herdLongShare = 0.02
 	herdDecode    = 2 * time.Second // time that an answer takes
 )
@@ -116,8 +116,8 @@
 // arrivals adds the requests of one step.
 func (h *herd) arrivals(since time.Duration) {
 	load := herdLoad
-	if phase := since % herdPeriod; phase >= herdCrestFrom && phase < herdCrestFrom+5*time.Second {
-		load = herdCrest
+	if phase := since % herdPeriod; phase >= herdPeakFrom && phase < herdPeakFrom+5*time.Second {
+		load = herdPeak
 	}
 	const meanTokens = (1-herdLongShare)*4500 + herdLongShare*250_000
 	expected := load * herdRate * herdEngines / meanTokens * herdStep.Seconds()
