--- a/lease/herd_test.go
+++ b/lease/herd_test.go
@@ -25,8 +25,8 @@
 	herdStep      = 5 * time.Millisecond
 	herdTime      = 60 * time.Second
 	herdLoad      = 0.6 // of the rate of all engines, mean
-	herdPeak     = 1.2 // the same during the peak
-	herdPeakFrom = 8 * time.Second
+	herdPeak      = 1.2 // the same during the peak
+	herdPeakFrom  = 8 * time.Second
 	herdPeriod    = 20 * time.Second // peaks last from herdPeakFrom+2 s for 5 s
 	herdLongShare = 0.02
 	herdDecode    = 2 * time.Second // time that an answer takes
