--- a/host/heartbeats.go
+++ b/host/heartbeats.go
@@ -159,17 +159,3 @@
 	}
 	p.limiter.SetHosts(live)
 }
-
-// gossip returns the strikes that the next heartbeat carries.
-func (s *strikes) gossip(now time.Time) []*peerv1.StrikeRecord {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.registry.Gossip(now, strikesPerBeat)
-}
-
-// merge takes in the strikes of a heartbeat.
-func (s *strikes) merge(now time.Time, records []*peerv1.StrikeRecord) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.registry.Merge(now, records)
-}
--- /dev/null
+++ b/host/strikes.go
@@ -0,0 +1,121 @@
+package host
+
+import (
+	"sync"
+	"time"
+
+	peerv1 "github.com/citronscale/citronscale/api/peer/v1"
+	"github.com/citronscale/citronscale/strike"
+	"github.com/citronscale/citronscale/upstream"
+)
+
+// strikes guards the registry of content that crashes engines.
+type strikes struct {
+	mu       sync.Mutex
+	registry *strike.Registry
+	running  map[upstream.Name]map[strike.Digest]int // own content by engine
+}
+
+const (
+	maxStrikes  = 4096
+	strikeDecay = time.Hour
+)
+
+func newStrikes() *strikes {
+	return &strikes{
+		registry: strike.New(strike.Options{MaxRecords: maxStrikes, Decay: strikeDecay}),
+		running:  make(map[upstream.Name]map[strike.Digest]int),
+	}
+}
+
+// judge says how content may run.
+func (s *strikes) judge(now time.Time, content strike.Digest) strike.Verdict {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.registry.Judge(now, content)
+}
+
+// begin notes that content runs on an engine; the returned function ends it.
+func (s *strikes) begin(name upstream.Name, content strike.Digest) (end func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.running[name] == nil {
+		s.running[name] = make(map[strike.Digest]int)
+	}
+	s.running[name][content]++
+	return sync.OnceFunc(func() { s.endRun(name, content) })
+}
+
+func (s *strikes) endRun(name upstream.Name, content strike.Digest) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running[name][content]--
+	if s.running[name][content] <= 0 {
+		delete(s.running[name], content)
+	}
+}
+
+// crashed strikes all own content that ran on an engine which crashed.
+func (s *strikes) crashed(now time.Time, name upstream.Name, incarnation uint64) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	contents := make([]strike.Digest, 0, len(s.running[name]))
+	for content := range s.running[name] {
+		contents = append(contents, content)
+	}
+	if len(contents) > 0 {
+		alone := len(contents) == 1 && s.registry.Isolated(contents[0])
+		s.registry.Crash(now, name, incarnation, contents, alone)
+	}
+	return len(contents)
+}
+
+// finished clears content that ran to its end.
+func (s *strikes) finished(content strike.Digest) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.registry.Finished(content)
+}
+
+// startTrial asks for leave to send suspect content.
+func (s *strikes) startTrial(content strike.Digest, verdict strike.Verdict) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.registry.StartTrial(content, verdict)
+}
+
+// suspectEngines returns the engines on which this host runs suspect content.
+func (s *strikes) suspectEngines(now time.Time) []upstream.Name {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var names []upstream.Name
+	for name, contents := range s.running {
+		for content := range contents {
+			if s.registry.Judge(now, content) != strike.Allow {
+				names = append(names, name)
+				break
+			}
+		}
+	}
+	return names
+}
+
+func (s *strikes) endTrial(content strike.Digest) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.registry.EndTrial(content)
+}
+
+// gossip returns the strikes that the next heartbeat carries.
+func (s *strikes) gossip(now time.Time) []*peerv1.StrikeRecord {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.registry.Gossip(now, strikesPerBeat)
+}
+
+// merge takes in the strikes of a heartbeat.
+func (s *strikes) merge(now time.Time, records []*peerv1.StrikeRecord) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.registry.Merge(now, records)
+}
