Package source holds the reader of the own configuration service

Cause: the folder platform/ is to hold only the adapter to the users' platform; it held the interfaces of the product's own configuration service and host list. Change: moved to source and source/httpsource, no change of behaviour.

--- a/cmd/citronstub/platform.go
+++ b/cmd/citronstub/platform.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/citronscale/citronscale/internal/stub/platformstub"
-	"github.com/citronscale/citronscale/platform/httpsource"
+	"github.com/citronscale/citronscale/source/httpsource"
 )
 
 type platformCommand struct {
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/citronscale/citronscale/chart"
-	"github.com/citronscale/citronscale/platform"
+	"github.com/citronscale/citronscale/source"
 	"github.com/citronscale/citronscale/upstream"
 )
 
@@ -80,7 +80,7 @@
 
 // UpdateList takes over a host list. Upstreams that it no longer names and
 // that have no own work in flight are forgotten.
-func (d *Directory) UpdateList(now time.Time, list []platform.Entry) []Change {
+func (d *Directory) UpdateList(now time.Time, list []source.Entry) []Change {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	listed := make(map[upstream.Name]bool, len(list))
@@ -96,15 +96,15 @@
 	return append(changes, d.removeUnlisted(listed)...)
 }
 
-func infoOf(line platform.Entry) (upstream.Info, bool) {
+func infoOf(line source.Entry) (upstream.Info, bool) {
 	info := upstream.Info{
 		Name: upstream.Name(line.Name), Address: line.Address, FailureDomain: line.FailureDomain,
 		Model: line.Model, Service: line.Service, Leaving: line.Leaving, ChecksFence: line.ChecksFence,
 	}
 	switch line.Role {
-	case platform.RoleEngine:
+	case source.RoleEngine:
 		info.Kind = upstream.KindEngine
-	case platform.RoleService:
+	case source.RoleService:
 		info.Kind = upstream.KindService
 	default:
 		return info, false
--- a/host/agreement.go
+++ b/host/agreement.go
@@ -11,7 +11,7 @@
 	"github.com/citronscale/citronscale/membership"
 	"github.com/citronscale/citronscale/orders"
 	"github.com/citronscale/citronscale/ownership"
-	"github.com/citronscale/citronscale/platform"
+	"github.com/citronscale/citronscale/source"
 	"github.com/citronscale/citronscale/reclaim"
 	"github.com/citronscale/citronscale/revision"
 	"github.com/citronscale/citronscale/upstream"
@@ -203,10 +203,10 @@
 }
 
 // useHostList seeds the membership with the entry hosts of a host list.
-func (a *agreement) useHostList(now time.Time, list []platform.Entry) {
+func (a *agreement) useHostList(now time.Time, list []source.Entry) {
 	var seeds []membership.Seed
 	for _, entry := range list {
-		if entry.Role != platform.RoleHost {
+		if entry.Role != source.RoleHost {
 			continue
 		}
 		seeds = append(seeds, membership.Seed{
--- a/host/configuration.go
+++ b/host/configuration.go
@@ -10,7 +10,7 @@
 	"github.com/citronscale/citronscale/event"
 	"github.com/citronscale/citronscale/ident"
 	"github.com/citronscale/citronscale/membership"
-	"github.com/citronscale/citronscale/platform"
+	"github.com/citronscale/citronscale/source"
 	"github.com/citronscale/citronscale/revision"
 )
 
@@ -21,7 +21,7 @@
 )
 
 // offerConfig judges a document from the service or a peer.
-func (h *Host) offerConfig(document platform.Document, source string) {
+func (h *Host) offerConfig(document source.Document, source string) {
 	decision, err := h.agreement.offer(time.Now(), document)
 	switch decision {
 	case revision.Accepted:
@@ -75,7 +75,7 @@
 }
 
 // offer judges a document.
-func (a *agreement) offer(now time.Time, document platform.Document) (revision.Decision, error) {
+func (a *agreement) offer(now time.Time, document source.Document) (revision.Decision, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return a.state.Offer(now, document)
@@ -106,7 +106,7 @@
 	return a.state.Answer(request)
 }
 
-func (a *agreement) assemble(response *peerv1.FetchConfigResponse) (platform.Document, error) {
+func (a *agreement) assemble(response *peerv1.FetchConfigResponse) (source.Document, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return a.state.Assemble(response)
--- a/host/fleet_test.go
+++ b/host/fleet_test.go
@@ -25,7 +25,7 @@
 	"github.com/citronscale/citronscale/internal/stub/servicestub"
 	"github.com/citronscale/citronscale/internal/stub/stubhttp"
 	"github.com/citronscale/citronscale/internal/testport"
-	"github.com/citronscale/citronscale/platform/httpsource"
+	"github.com/citronscale/citronscale/source/httpsource"
 	"github.com/citronscale/citronscale/settings"
 )
 
--- a/host/hostlist.go
+++ b/host/hostlist.go
@@ -11,7 +11,7 @@
 
 	peerv1 "github.com/citronscale/citronscale/api/peer/v1"
 	"github.com/citronscale/citronscale/membership"
-	"github.com/citronscale/citronscale/platform"
+	"github.com/citronscale/citronscale/source"
 )
 
 // maxHostListAge is the age at which a host that can't read the platform asks
@@ -21,13 +21,13 @@
 // hostList is the newest host list that this host knows.
 type hostList struct {
 	mu      sync.Mutex
-	entries []platform.Entry
+	entries []source.Entry
 	readAt  time.Time // from the platform, by this host or by a peer; zero if there is no list
 }
 
 // replace takes a list over unless the one in use is as new. It reports whether
 // it did.
-func (l *hostList) replace(entries []platform.Entry, readAt time.Time) bool {
+func (l *hostList) replace(entries []source.Entry, readAt time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !readAt.After(l.readAt) {
@@ -66,10 +66,10 @@
 }
 
 // entriesOf returns the list that a peer answered with.
-func entriesOf(response *peerv1.FetchHostsResponse) []platform.Entry {
-	entries := make([]platform.Entry, 0, len(response.GetEntries()))
+func entriesOf(response *peerv1.FetchHostsResponse) []source.Entry {
+	entries := make([]source.Entry, 0, len(response.GetEntries()))
 	for _, e := range response.GetEntries() {
-		entries = append(entries, platform.Entry{
+		entries = append(entries, source.Entry{
 			Name: e.GetName(), Role: e.GetRole(), Address: e.GetAddress(), PeerAddress: e.GetPeerAddress(), FailureDomain: e.GetFailureDomain(),
 			Model: e.GetModel(), Service: e.GetService(), Leaving: e.GetLeaving(), ChecksFence: e.GetChecksFence(),
 		})
--- a/host/hostlist_test.go
+++ b/host/hostlist_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/citronscale/citronscale/chart"
 	"github.com/citronscale/citronscale/internal/stub/enginestub"
-	"github.com/citronscale/citronscale/platform"
+	"github.com/citronscale/citronscale/source"
 )
 
 // TestHostStartsWhileThePlatformIsDown starts a second host that can read
@@ -40,7 +40,7 @@
 	assert.Assert(t, !h.agreement.mayBeReady(time.Now().Add(time.Hour)))
 	assert.Equal(t, h.lifecycle.state(), chart.ProcessStarting)
 
-	h.useHostList([]platform.Entry{}, time.Now())
+	h.useHostList([]source.Entry{}, time.Now())
 	h.await("the host is ready", func() bool { return h.lifecycle.state() == chart.ProcessReady })
 }
 
@@ -51,11 +51,11 @@
 	assert.Assert(t, list.age(now) > maxHostListAge)
 	_, ok := list.response(now)
 	assert.Assert(t, !ok)
-	entry := platform.Entry{Name: "engine-1", Role: platform.RoleEngine, Address: "127.0.0.1:1", Model: testModel, Leaving: true, ChecksFence: true}
-	assert.Assert(t, list.replace([]platform.Entry{entry}, now.Add(-2*time.Second)))
+	entry := source.Entry{Name: "engine-1", Role: source.RoleEngine, Address: "127.0.0.1:1", Model: testModel, Leaving: true, ChecksFence: true}
+	assert.Assert(t, list.replace([]source.Entry{entry}, now.Add(-2*time.Second)))
 	assert.Assert(t, !list.replace(nil, now.Add(-3*time.Second)))
 	response, ok := list.response(now)
 	assert.Assert(t, ok)
 	assert.Equal(t, response.GetAgeMs(), uint64(2000))
-	assert.DeepEqual(t, entriesOf(response), []platform.Entry{entry})
+	assert.DeepEqual(t, entriesOf(response), []source.Entry{entry})
 }
--- a/host/platform.go
+++ b/host/platform.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"github.com/citronscale/citronscale/event"
-	"github.com/citronscale/citronscale/platform"
-	"github.com/citronscale/citronscale/platform/httpsource"
+	"github.com/citronscale/citronscale/source"
+	"github.com/citronscale/citronscale/source/httpsource"
 	"github.com/citronscale/citronscale/settings"
 )
 
@@ -40,15 +40,15 @@
 	return sources
 }
 
-// Read implements platform.ConfigSource.
-func (p *platformReader) Read(ctx context.Context, afterRevision uint64, wait time.Duration) (platform.Document, error) {
+// Read implements source.ConfigSource.
+func (p *platformReader) Read(ctx context.Context, afterRevision uint64, wait time.Duration) (source.Document, error) {
 	document, err := p.pick(p.config).Read(ctx, afterRevision, wait)
 	p.judge(err)
 	return document, err
 }
 
-// Hosts implements platform.HostList.
-func (p *platformReader) Hosts(ctx context.Context) ([]platform.Entry, error) {
+// Hosts implements source.HostList.
+func (p *platformReader) Hosts(ctx context.Context) ([]source.Entry, error) {
 	list, err := p.pick(p.hostList).Hosts(ctx)
 	p.judge(err)
 	return list, err
@@ -59,7 +59,7 @@
 }
 
 func (p *platformReader) judge(err error) {
-	if err != nil && !errors.Is(err, platform.ErrUnchanged) {
+	if err != nil && !errors.Is(err, source.ErrUnchanged) {
 		p.current.Add(1)
 	}
 }
@@ -85,7 +85,7 @@
 		asked := time.Now()
 		known := h.agreement.known()
 		document, err := h.platform.Read(ctx, known, wait)
-		failed := err != nil && !errors.Is(err, platform.ErrUnchanged)
+		failed := err != nil && !errors.Is(err, source.ErrUnchanged)
 		if failed != down && ctx.Err() == nil {
 			h.noteSource(failed, err)
 		}
@@ -131,7 +131,7 @@
 
 // useHostList hands a host list to the parts that need it, unless a newer one
 // is in use. The list was read from the platform at readAt.
-func (h *Host) useHostList(list []platform.Entry, readAt time.Time) {
+func (h *Host) useHostList(list []source.Entry, readAt time.Time) {
 	if !h.hosts.replace(list, readAt) {
 		return
 	}
--- a/internal/load/demo.go
+++ b/internal/load/demo.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"github.com/citronscale/citronscale/code"
-	"github.com/citronscale/citronscale/platform"
+	"github.com/citronscale/citronscale/source"
 	"github.com/citronscale/citronscale/upstream"
 	"github.com/citronscale/citronscale/upstream/enginehttp"
 )
@@ -170,7 +170,7 @@
 	return append(rows, once)
 }
 
-func (d *Demo) issueKey(ctx context.Context, host platform.Entry) (string, error) {
+func (d *Demo) issueKey(ctx context.Context, host source.Entry) (string, error) {
 	status, _, data, err := d.post(ctx, host, "/v1/idempotency-keys", "", []byte(`{"count":1}`))
 	if err != nil {
 		return "", err
@@ -184,7 +184,7 @@
 	return answer.Keys[0], nil
 }
 
-func (d *Demo) sendBooking(ctx context.Context, name string, host platform.Entry, key string) DemoRow {
+func (d *Demo) sendBooking(ctx context.Context, name string, host source.Entry, key string) DemoRow {
 	row := DemoRow{Request: name, Host: host.Name}
 	started := time.Now()
 	status, header, data, err := d.post(ctx, host, "/services/"+d.Service+d.BookingPath, key, []byte(`{"room":"4b"}`))
@@ -214,7 +214,7 @@
 	return fmt.Sprintf("%d %s (%s): %s", problem.Code, problem.Code.Name(), problem.Code.Outcome(), problem.Detail)
 }
 
-func (d *Demo) post(ctx context.Context, host platform.Entry, path, key string, body []byte) (int, http.Header, []byte, error) {
+func (d *Demo) post(ctx context.Context, host source.Entry, path, key string, body []byte) (int, http.Header, []byte, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+host.Address+path, bytes.NewReader(body))
 	if err != nil {
 		return 0, nil, nil, err
--- a/internal/load/fleet.go
+++ b/internal/load/fleet.go
@@ -16,8 +16,8 @@
 
 	"github.com/citronscale/citronscale/internal/stub/enginestub"
 	"github.com/citronscale/citronscale/internal/stub/servicestub"
-	"github.com/citronscale/citronscale/platform"
-	"github.com/citronscale/citronscale/platform/httpsource"
+	"github.com/citronscale/citronscale/source"
+	"github.com/citronscale/citronscale/source/httpsource"
 )
 
 // Team is a team that sends requests.
@@ -91,27 +91,27 @@
 
 // Fleet is what the host list of the platform names.
 type Fleet struct {
-	Hosts    []platform.Entry
-	Engines  []platform.Entry
-	Services []platform.Entry
+	Hosts    []source.Entry
+	Engines  []source.Entry
+	Services []source.Entry
 }
 
 // ReadFleet reads the host list of the platform at address, an IP:port.
 func ReadFleet(ctx context.Context, address string) (*Fleet, error) {
-	source := httpsource.New(address)
-	defer source.Close()
-	entries, err := source.Hosts(ctx)
+	list := httpsource.New(address)
+	defer list.Close()
+	entries, err := list.Hosts(ctx)
 	if err != nil {
 		return nil, err
 	}
 	fleet := &Fleet{}
 	for _, entry := range entries {
 		switch entry.Role {
-		case platform.RoleHost:
+		case source.RoleHost:
 			fleet.Hosts = append(fleet.Hosts, entry)
-		case platform.RoleEngine:
+		case source.RoleEngine:
 			fleet.Engines = append(fleet.Engines, entry)
-		case platform.RoleService:
+		case source.RoleService:
 			fleet.Services = append(fleet.Services, entry)
 		}
 	}
--- a/internal/processtest/fleet_test.go
+++ b/internal/processtest/fleet_test.go
@@ -22,8 +22,8 @@
 	"github.com/citronscale/citronscale/internal/stub/servicestub"
 	"github.com/citronscale/citronscale/internal/stub/stubhttp"
 	"github.com/citronscale/citronscale/internal/testport"
-	"github.com/citronscale/citronscale/platform"
-	"github.com/citronscale/citronscale/platform/httpsource"
+	"github.com/citronscale/citronscale/source"
+	"github.com/citronscale/citronscale/source/httpsource"
 )
 
 const (
@@ -94,7 +94,7 @@
 		host := newHost(t, i+1)
 		f.hosts = append(f.hosts, host)
 		list.Entries = append(list.Entries, httpsource.Entry{
-			Name: host.name, Role: platform.RoleHost, Address: host.callers,
+			Name: host.name, Role: source.RoleHost, Address: host.callers,
 			PeerAddress: host.peers, FailureDomain: domain(i + 1),
 		})
 	}
@@ -140,7 +140,7 @@
 	})
 	f.engines = append(f.engines, node)
 	return httpsource.Entry{
-		Name: node.name, Role: platform.RoleEngine, Address: server.Address(),
+		Name: node.name, Role: source.RoleEngine, Address: server.Address(),
 		FailureDomain: domain(number), Model: testModel,
 	}
 }
@@ -154,7 +154,7 @@
 	t.Cleanup(server.Close)
 	f.services = append(f.services, node)
 	return httpsource.Entry{
-		Name: node.name, Role: platform.RoleService, Address: server.Address(),
+		Name: node.name, Role: source.RoleService, Address: server.Address(),
 		FailureDomain: domain(number), Service: "booking",
 	}
 }
--- a/internal/proctest/fleet_test.go
+++ b/internal/proctest/fleet_test.go
@@ -16,7 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/citronscale/citronscale/internal/testport"
-	"github.com/citronscale/citronscale/platform/httpsource"
+	"github.com/citronscale/citronscale/source/httpsource"
 )
 
 const (
--- a/internal/stub/platformstub/handler.go
+++ b/internal/stub/platformstub/handler.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/citronscale/citronscale/internal/stub/stubhttp"
-	"github.com/citronscale/citronscale/platform/httpsource"
+	"github.com/citronscale/citronscale/source/httpsource"
 )
 
 const maxControlBytes = 16 << 20
--- a/internal/stub/platformstub/platform.go
+++ b/internal/stub/platformstub/platform.go
@@ -8,8 +8,8 @@
 	"golang.org/x/time/rate"
 
 	"github.com/citronscale/citronscale/internal/stub/stubhttp"
-	"github.com/citronscale/citronscale/platform"
-	"github.com/citronscale/citronscale/platform/httpsource"
+	"github.com/citronscale/citronscale/source"
+	"github.com/citronscale/citronscale/source/httpsource"
 )
 
 // Platform is the stand-in.
@@ -17,9 +17,9 @@
 	Gate *stubhttp.Gate // makes the whole platform go silent
 
 	mu          sync.Mutex
-	published   map[uint64]platform.Document
-	current     platform.Document
-	stale       *platform.Document // served in place of current, unless nil
+	published   map[uint64]source.Document
+	current     source.Document
+	stale       *source.Document // served in place of current, unless nil
 	changed     chan struct{}      // closed at each change of what is served
 	down        bool
 	lists       []datedList // ascending by time
@@ -48,7 +48,7 @@
 func New() *Platform {
 	return &Platform{
 		Gate:      stubhttp.NewGate(),
-		published: make(map[uint64]platform.Document),
+		published: make(map[uint64]source.Document),
 		changed:   make(chan struct{}),
 		lists:     []datedList{{}},
 		pulls:     rate.NewLimiter(rate.Inf, 1),
@@ -63,7 +63,7 @@
 	if revision == 0 {
 		revision = p.current.Revision + 1
 	}
-	document := platform.Document{Revision: revision, Data: data}
+	document := source.Document{Revision: revision, Data: data}
 	p.published[revision] = document
 	p.current = document
 	p.notify()
@@ -166,7 +166,7 @@
 	p.changed = make(chan struct{})
 }
 
-func (p *Platform) serving() platform.Document {
+func (p *Platform) serving() source.Document {
 	if p.stale != nil {
 		return *p.stale
 	}
@@ -175,7 +175,7 @@
 
 // waitNewer returns the document that is served once its revision exceeds
 // after, or after the wait, and whether the platform is up.
-func (p *Platform) waitNewer(ctx context.Context, after uint64, wait time.Duration) (platform.Document, bool) {
+func (p *Platform) waitNewer(ctx context.Context, after uint64, wait time.Duration) (source.Document, bool) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
--- a/revision/chunk.go
+++ b/revision/chunk.go
@@ -9,7 +9,7 @@
 
 	peerv1 "github.com/citronscale/citronscale/api/peer/v1"
 	"github.com/citronscale/citronscale/config"
-	"github.com/citronscale/citronscale/platform"
+	"github.com/citronscale/citronscale/source"
 )
 
 const (
@@ -82,9 +82,9 @@
 
 // Assemble puts the document of an answer together from its chunks and the ones
 // of this host. The document still has to be offered.
-func (s *State) Assemble(response *peerv1.FetchConfigResponse) (platform.Document, error) {
+func (s *State) Assemble(response *peerv1.FetchConfigResponse) (source.Document, error) {
 	if len(response.GetChunks()) > maxChunks {
-		return platform.Document{}, fmt.Errorf("revision %d has %d chunks, limit is %d", response.GetRevision(), len(response.GetChunks()), maxChunks)
+		return source.Document{}, fmt.Errorf("revision %d has %d chunks, limit is %d", response.GetRevision(), len(response.GetChunks()), maxChunks)
 	}
 	own := make(map[uint64][]byte, len(s.chunks))
 	for _, c := range s.chunks {
@@ -97,12 +97,12 @@
 			data = own[part.GetDigest()]
 		}
 		if len(document)+len(data) > config.MaxDocumentBytes {
-			return platform.Document{}, fmt.Errorf("revision %d exceeds %d bytes", response.GetRevision(), config.MaxDocumentBytes)
+			return source.Document{}, fmt.Errorf("revision %d exceeds %d bytes", response.GetRevision(), config.MaxDocumentBytes)
 		}
 		document = append(document, data...)
 	}
 	if sum := sha256.Sum256(document); !bytes.Equal(sum[:], response.GetDocumentSha256()) {
-		return platform.Document{}, fmt.Errorf("chunks of revision %d don't make up its document", response.GetRevision())
+		return source.Document{}, fmt.Errorf("chunks of revision %d don't make up its document", response.GetRevision())
 	}
-	return platform.Document{Revision: response.GetRevision(), Data: document}, nil
+	return source.Document{Revision: response.GetRevision(), Data: document}, nil
 }
--- a/revision/state.go
+++ b/revision/state.go
@@ -5,7 +5,7 @@
 
 	"github.com/citronscale/citronscale/chart"
 	"github.com/citronscale/citronscale/config"
-	"github.com/citronscale/citronscale/platform"
+	"github.com/citronscale/citronscale/source"
 )
 
 // Decision is what became of an offered document.
@@ -37,7 +37,7 @@
 type State struct {
 	machine   *chart.Machine
 	inForce   *config.Config
-	document  platform.Document
+	document  source.Document
 	chunks    []chunk
 	since     time.Time // when the document came into force
 	confirmed time.Time // when the service or a peer last stated it
@@ -92,7 +92,7 @@
 
 // Offer judges a document from the service or a peer. The error of a rejected
 // document lists its faults.
-func (s *State) Offer(now time.Time, document platform.Document) (Decision, error) {
+func (s *State) Offer(now time.Time, document source.Document) (Decision, error) {
 	offered := identity{document.Revision, config.Digest(document.Data)}
 	current := s.current()
 	switch {
@@ -116,7 +116,7 @@
 	return Accepted, nil
 }
 
-func (s *State) accept(now time.Time, document platform.Document, parsed *config.Config) {
+func (s *State) accept(now time.Time, document source.Document, parsed *config.Config) {
 	s.inForce = parsed
 	s.document = document
 	s.chunks = split(document.Data)
--- a/revision/state_test.go
+++ b/revision/state_test.go
@@ -13,7 +13,7 @@
 	"github.com/citronscale/citronscale/config"
 	"github.com/citronscale/citronscale/ident"
 	_ "github.com/citronscale/citronscale/internal/testseed"
-	"github.com/citronscale/citronscale/platform"
+	"github.com/citronscale/citronscale/source"
 )
 
 const testHosts = 4
@@ -27,15 +27,15 @@
 	highest   []identity // per host and incarnation: what was in force last
 	paused    [testHosts]bool
 	cut       [testHosts][testHosts]bool
-	published []platform.Document
-	visible   platform.Document // what the service answers
+	published []source.Document
+	visible   source.Document // what the service answers
 	down      bool
 	late      []lateOffer
 }
 
 type lateOffer struct {
 	host     int
-	document platform.Document
+	document source.Document
 }
 
 func newFleet(t *rapid.T) *fleet {
@@ -47,8 +47,8 @@
 	return f
 }
 
-func document(revision uint64, body string) platform.Document {
-	return platform.Document{Revision: revision, Data: []byte(body)}
+func document(revision uint64, body string) source.Document {
+	return source.Document{Revision: revision, Data: []byte(body)}
 }
 
 // publish makes the service offer a new document, valid or not.
@@ -96,7 +96,7 @@
 	f.offer(offer.host, offer.document)
 }
 
-func (f *fleet) offer(host int, offered platform.Document) {
+func (f *fleet) offer(host int, offered source.Document) {
 	if f.paused[host] {
 		return
 	}
@@ -213,11 +213,11 @@
 	one, two := document(5, "format = 1\n"), document(5, "format = 1\n# other\n")
 	a, b := NewState(), NewState()
 	now := time.Unix(1, 0)
-	for _, offered := range []platform.Document{one, two} {
+	for _, offered := range []source.Document{one, two} {
 		_, err := a.Offer(now, offered)
 		assert.NilError(t, err)
 	}
-	for _, offered := range []platform.Document{two, one} {
+	for _, offered := range []source.Document{two, one} {
 		_, err := b.Offer(now, offered)
 		assert.NilError(t, err)
 	}
@@ -238,9 +238,9 @@
 	before := largeDocument(21_000)
 	after := bytes.Replace(before, []byte("t10000 = "), []byte("u10000 = "), 1)
 	behind, ahead := NewState(), NewState()
-	_, err := behind.Offer(time.Unix(1, 0), platform.Document{Revision: 1, Data: before})
+	_, err := behind.Offer(time.Unix(1, 0), source.Document{Revision: 1, Data: before})
 	assert.NilError(t, err)
-	_, err = ahead.Offer(time.Unix(1, 0), platform.Document{Revision: 2, Data: after})
+	_, err = ahead.Offer(time.Unix(1, 0), source.Document{Revision: 2, Data: after})
 	assert.NilError(t, err)
 	response, ok := ahead.Answer(behind.Request())
 	assert.Assert(t, ok)
@@ -290,8 +290,8 @@
 	before := largeDocument(21_000)
 	after := bytes.Replace(before, []byte("t10000 = "), []byte("u10000 = "), 1)
 	behind, ahead := NewState(), NewState()
-	_, _ = behind.Offer(time.Unix(1, 0), platform.Document{Revision: 1, Data: before})
-	_, _ = ahead.Offer(time.Unix(1, 0), platform.Document{Revision: 2, Data: after})
+	_, _ = behind.Offer(time.Unix(1, 0), source.Document{Revision: 1, Data: before})
+	_, _ = ahead.Offer(time.Unix(1, 0), source.Document{Revision: 2, Data: after})
 	moved := 0
 	for b.Loop() {
 		request := behind.Request()
--- a/platform/httpsource/list.go
+++ b/source/httpsource/list.go
@@ -1,6 +1,6 @@
 package httpsource
 
-import "github.com/citronscale/citronscale/platform"
+import "github.com/citronscale/citronscale/source"
 
 // List is the host list as JSON.
 type List struct {
@@ -20,10 +20,10 @@
 	ChecksFence   bool   `json:"checks_fence,omitempty"`
 }
 
-func (l *List) entries() []platform.Entry {
-	entries := make([]platform.Entry, 0, len(l.Entries))
+func (l *List) entries() []source.Entry {
+	entries := make([]source.Entry, 0, len(l.Entries))
 	for _, entry := range l.Entries {
-		entries = append(entries, platform.Entry(entry))
+		entries = append(entries, source.Entry(entry))
 	}
 	return entries
 }
--- a/platform/httpsource/source.go
+++ b/source/httpsource/source.go
@@ -11,7 +11,7 @@
 	"strconv"
 	"time"
 
-	"github.com/citronscale/citronscale/platform"
+	"github.com/citronscale/citronscale/source"
 )
 
 // Paths and headers of the platform. docs/UPSTREAM-PROTOCOL.md describes them.
@@ -32,7 +32,7 @@
 )
 
 // Source reads one address of the platform. It implements
-// platform.ConfigSource and platform.HostList.
+// source.ConfigSource and source.HostList.
 type Source struct {
 	base      string
 	transport *http.Transport
@@ -56,8 +56,8 @@
 	s.transport.CloseIdleConnections()
 }
 
-// Read implements platform.ConfigSource.
-func (s *Source) Read(ctx context.Context, afterRevision uint64, wait time.Duration) (platform.Document, error) {
+// Read implements source.ConfigSource.
+func (s *Source) Read(ctx context.Context, afterRevision uint64, wait time.Duration) (source.Document, error) {
 	query := url.Values{}
 	query.Set(ParameterAfter, strconv.FormatUint(afterRevision, 10))
 	query.Set(ParameterWait, wait.String())
@@ -65,33 +65,33 @@
 	defer cancel()
 	resp, err := s.get(ctx, PathConfig+"?"+query.Encode())
 	if err != nil {
-		return platform.Document{}, fmt.Errorf("read configuration: %w", err)
+		return source.Document{}, fmt.Errorf("read configuration: %w", err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	return readDocument(resp)
 }
 
-func readDocument(resp *http.Response) (platform.Document, error) {
+func readDocument(resp *http.Response) (source.Document, error) {
 	revision, err := strconv.ParseUint(resp.Header.Get(HeaderRevision), 10, 64)
 	if err != nil {
-		return platform.Document{}, fmt.Errorf("read configuration: status %d without a valid %s header", resp.StatusCode, HeaderRevision)
+		return source.Document{}, fmt.Errorf("read configuration: status %d without a valid %s header", resp.StatusCode, HeaderRevision)
 	}
 	switch resp.StatusCode {
 	case http.StatusNotModified:
-		return platform.Document{Revision: revision}, platform.ErrUnchanged
+		return source.Document{Revision: revision}, source.ErrUnchanged
 	case http.StatusOK:
 	default:
-		return platform.Document{}, fmt.Errorf("read configuration: status %d", resp.StatusCode)
+		return source.Document{}, fmt.Errorf("read configuration: status %d", resp.StatusCode)
 	}
 	data, err := readBounded(resp.Body, maxDocumentBytes)
 	if err != nil {
-		return platform.Document{}, fmt.Errorf("read configuration: %w", err)
+		return source.Document{}, fmt.Errorf("read configuration: %w", err)
 	}
-	return platform.Document{Revision: revision, Data: data}, nil
+	return source.Document{Revision: revision, Data: data}, nil
 }
 
-// Hosts implements platform.HostList.
-func (s *Source) Hosts(ctx context.Context) ([]platform.Entry, error) {
+// Hosts implements source.HostList.
+func (s *Source) Hosts(ctx context.Context) ([]source.Entry, error) {
 	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
 	defer cancel()
 	resp, err := s.get(ctx, PathHosts)
--- a/platform/httpsource/source_test.go
+++ b/source/httpsource/source_test.go
@@ -8,8 +8,8 @@
 
 	"github.com/citronscale/citronscale/internal/stub/platformstub"
 	"github.com/citronscale/citronscale/internal/stub/stubhttp"
-	"github.com/citronscale/citronscale/platform"
-	"github.com/citronscale/citronscale/platform/httpsource"
+	"github.com/citronscale/citronscale/source"
+	"github.com/citronscale/citronscale/source/httpsource"
 )
 
 const longWait = 30 * time.Second
@@ -20,17 +20,17 @@
 	server, err := stubhttp.Listen("127.0.0.1:0", stub.Handler(), stub.Gate)
 	assert.NilError(t, err)
 	t.Cleanup(server.Close)
-	source := httpsource.New(server.Address())
-	t.Cleanup(source.Close)
-	return stub, source
+	reader := httpsource.New(server.Address())
+	t.Cleanup(reader.Close)
+	return stub, reader
 }
 
 func TestReadReturnsNewerRevision(t *testing.T) {
-	stub, source := start(t)
-	_, err := source.Read(t.Context(), 0, 0)
-	assert.Equal(t, err, platform.ErrUnchanged)
+	stub, reader := start(t)
+	_, err := reader.Read(t.Context(), 0, 0)
+	assert.Equal(t, err, source.ErrUnchanged)
 	stub.Publish(7, []byte("format = 1\n"))
-	document, err := source.Read(t.Context(), 0, longWait)
+	document, err := reader.Read(t.Context(), 0, longWait)
 	assert.NilError(t, err)
 	assert.Equal(t, document.Revision, uint64(7))
 	assert.Equal(t, string(document.Data), "format = 1\n")
@@ -38,11 +38,11 @@
 }
 
 func TestReadWaitsForPublication(t *testing.T) {
-	stub, source := start(t)
+	stub, reader := start(t)
 	stub.Publish(7, []byte("old"))
-	done := make(chan platform.Document)
+	done := make(chan source.Document)
 	go func() {
-		document, _ := source.Read(t.Context(), 7, longWait)
+		document, _ := reader.Read(t.Context(), 7, longWait)
 		done <- document
 	}()
 	for stub.Stats().ConfigReads == 0 {
@@ -55,55 +55,55 @@
 }
 
 func TestRestoredServiceShowsItsOlderRevision(t *testing.T) {
-	stub, source := start(t)
+	stub, reader := start(t)
 	stub.Publish(7, []byte("old"))
 	stub.Publish(8, []byte("new"))
 	assert.Assert(t, stub.Restore(7))
-	document, err := source.Read(t.Context(), 8, time.Millisecond)
-	assert.Equal(t, err, platform.ErrUnchanged)
+	document, err := reader.Read(t.Context(), 8, time.Millisecond)
+	assert.Equal(t, err, source.ErrUnchanged)
 	assert.Equal(t, document.Revision, uint64(7))
 }
 
 func TestStaleServiceHidesPublications(t *testing.T) {
-	stub, source := start(t)
+	stub, reader := start(t)
 	stub.Publish(7, []byte("old"))
 	stub.SetStale(true)
 	stub.Publish(8, []byte("new"))
-	_, err := source.Read(t.Context(), 7, time.Millisecond)
-	assert.Equal(t, err, platform.ErrUnchanged)
+	_, err := reader.Read(t.Context(), 7, time.Millisecond)
+	assert.Equal(t, err, source.ErrUnchanged)
 	stub.SetStale(false)
-	document, err := source.Read(t.Context(), 7, time.Millisecond)
+	document, err := reader.Read(t.Context(), 7, time.Millisecond)
 	assert.NilError(t, err)
 	assert.Equal(t, document.Revision, uint64(8))
 }
 
 func TestPlatformDown(t *testing.T) {
-	stub, source := start(t)
+	stub, reader := start(t)
 	stub.Publish(7, []byte("old"))
 	stub.SetDown(true)
-	_, err := source.Read(t.Context(), 0, time.Millisecond)
+	_, err := reader.Read(t.Context(), 0, time.Millisecond)
 	assert.ErrorContains(t, err, "read configuration")
-	_, err = source.Hosts(t.Context())
+	_, err = reader.Hosts(t.Context())
 	assert.ErrorContains(t, err, "read host list")
 }
 
 func TestHostListLags(t *testing.T) {
-	stub, source := start(t)
-	entry := httpsource.Entry{Name: "engine-1", Role: platform.RoleEngine, Address: "127.0.0.1:9101", FailureDomain: "a", Model: "m", ChecksFence: true}
+	stub, reader := start(t)
+	entry := httpsource.Entry{Name: "engine-1", Role: source.RoleEngine, Address: "127.0.0.1:9101", FailureDomain: "a", Model: "m", ChecksFence: true}
 	stub.SetInitialHosts(httpsource.List{Entries: []httpsource.Entry{entry}})
 	stub.SetLag(time.Hour)
 	leaving := entry
 	leaving.Leaving = true
 	stub.SetEntry(leaving)
-	entries, err := source.Hosts(t.Context())
+	entries, err := reader.Hosts(t.Context())
 	assert.NilError(t, err)
-	assert.DeepEqual(t, entries, []platform.Entry{platform.Entry(entry)})
+	assert.DeepEqual(t, entries, []source.Entry{source.Entry(entry)})
 	stub.SetLag(0)
-	entries, err = source.Hosts(t.Context())
+	entries, err = reader.Hosts(t.Context())
 	assert.NilError(t, err)
-	assert.DeepEqual(t, entries, []platform.Entry{platform.Entry(leaving)})
+	assert.DeepEqual(t, entries, []source.Entry{source.Entry(leaving)})
 	stub.RemoveEntry("engine-1")
-	entries, err = source.Hosts(t.Context())
+	entries, err = reader.Hosts(t.Context())
 	assert.NilError(t, err)
 	assert.Equal(t, len(entries), 0)
 }
--- a/platform/platform.go
+++ b/source/source.go
@@ -1,4 +1,4 @@
-package platform
+package source
 
 import (
 	"context"
