--- a/code/code.go
+++ b/code/code.go
@@ -63,6 +63,8 @@
 	NotFound            Code = 1025
 	// CallerGoneBeforeStart is CallerGone before any upstream got the request.
 	CallerGoneBeforeStart Code = 1026
+	RouteUnknown          Code = 1027
+	ConfigUnconfirmed     Code = 1028
 	SettingsInvalid       Code = 1901
 	ConfigInvalid         Code = 1902
 	UsageInvalid          Code = 1903
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -14,6 +14,15 @@
 	CertificatesInvalid  = Event{106, "certificates invalid", log.ErrorLevel, "Changed certificate files can't be used; the last good ones stay.", "Correct the files that the settings name."}
 )
 
+// Events of settings: 11x.
+var (
+	SettingsReloaded = Event{110, "settings reloaded", log.InfoLevel, "The settings file was read again.", ""}
+	SettingsInvalid  = Event{111, "settings invalid", log.ErrorLevel, "A changed settings file can't be used; the last good settings stay.", "Correct the field that the line names."}
+	ListenerFailed   = Event{112, "listener failed", log.ErrorLevel, "A listener ended before the process.", "Look at the error of the line."}
+	RequestsCut      = Event{113, "requests cut", log.WarnLevel, "Requests were still in flight at the end of a planned stop.", "Allow a longer grace."}
+	OutputFailed     = Event{114, "output failed", log.WarnLevel, "A dump or a message to peers could not be written.", "Look at the error of the line."}
+)
+
 // Events of requests: 2xx.
 var (
 	RequestAdmitted = Event{200, "request admitted", log.DebugLevel, "A request of a known team got its identifier.", ""}
@@ -22,6 +31,9 @@
 	RequestFailed   = Event{203, "request failed", log.WarnLevel, "A request failed after it was sent to an upstream.", "Run citronctl trace with the request identifier."}
 	AttemptStarted  = Event{210, "attempt started", log.DebugLevel, "A request is sent to an upstream.", ""}
 	AttemptFailed   = Event{211, "attempt failed", log.WarnLevel, "An attempt ended without a whole answer.", "Look at the upstream that the line names."}
+	StreamResumed   = Event{214, "stream resumed", log.InfoLevel, "A stream broke off and goes on at another upstream.", "Look at the upstream that broke off."}
+	LinesDropped    = Event{220, "lines dropped", log.WarnLevel, "Log lines were left out to keep the volume bounded.", "Read the metrics for the time of the line."}
+	RequestRelayed  = Event{213, "request relayed", log.InfoLevel, "A request ended; the line holds its route, its upstreams and what decided.", "Look up the code."}
 	AttemptRetried  = Event{212, "attempt retried", log.InfoLevel, "The request goes to another upstream.", ""}
 )
 
@@ -31,15 +43,20 @@
 	ConfigRejected   = Event{301, "configuration rejected", log.ErrorLevel, "A published document is invalid; the last good one stays.", "Run citronctl config check on the document."}
 	ConfigOlder      = Event{302, "configuration older", log.WarnLevel, "The service offers an older revision than the one in force.", "Publish the wanted document under a higher revision."}
 	ConfigSourceDown = Event{303, "configuration source down", log.WarnLevel, "The configuration service can't be read.", "Hosts go on with the revision in force; check the service."}
+	ConfigStale      = Event{305, "configuration unconfirmed", log.WarnLevel, "The configuration was not confirmed for too long; requests that need a key are refused.", "Check that the host reaches the platform."}
+	ConfigFresh      = Event{306, "configuration confirmed", log.InfoLevel, "The configuration is confirmed again.", ""}
+	EntryUnreadable  = Event{307, "entry unreadable", log.WarnLevel, "An entry of the platform can't be read and names no upstream.", "Look for the writer of the entry."}
+	HistoryLost      = Event{308, "history lost", log.InfoLevel, "Changes may have been missed; everything is read anew.", ""}
 	ConfigSourceBack = Event{304, "configuration source back", log.InfoLevel, "The configuration service answers again.", ""}
 )
 
 // Events of membership: 4xx.
 var (
-	PeerJoined  = Event{400, "peer joined", log.InfoLevel, "A peer host was heard for the first time in this incarnation.", ""}
-	PeerSuspect = Event{401, "peer suspect", log.WarnLevel, "A peer host does not answer.", "Check the host and the network between the failure domains."}
-	PeerLost    = Event{402, "peer lost", log.WarnLevel, "A peer host is counted as failed.", "Check the host."}
-	PeerLeaving = Event{403, "peer leaving", log.InfoLevel, "A peer host began a planned stop.", ""}
+	PeerJoined             = Event{400, "peer joined", log.InfoLevel, "A peer host was heard for the first time in this incarnation.", ""}
+	PeerSuspect            = Event{401, "peer suspect", log.WarnLevel, "A peer host does not answer.", "Check the host and the network between the failure domains."}
+	PeerLost               = Event{402, "peer lost", log.WarnLevel, "A peer host is counted as failed.", "Check the host."}
+	AnnouncementUnreadable = Event{404, "announcement unreadable", log.WarnLevel, "A datagram of a peer can't be read and was ignored.", "Check that all hosts run the same version."}
+	PeerLeaving            = Event{403, "peer leaving", log.InfoLevel, "A peer host began a planned stop.", ""}
 )
 
 // Events of upstreams: 5xx.
@@ -57,10 +74,12 @@
 var catalogue = []Event{
 	ProcessStarting, ProcessReady, ProcessLeaving, ProcessStopped, ProcessPaused,
 	CertificatesReloaded, CertificatesInvalid,
+	SettingsReloaded, SettingsInvalid, ListenerFailed, RequestsCut, OutputFailed,
 	RequestAdmitted, RequestFinished, RequestRefused, RequestFailed,
-	AttemptStarted, AttemptFailed, AttemptRetried,
+	AttemptStarted, AttemptFailed, AttemptRetried, RequestRelayed, StreamResumed, LinesDropped,
 	ConfigAccepted, ConfigRejected, ConfigOlder, ConfigSourceDown, ConfigSourceBack,
-	PeerJoined, PeerSuspect, PeerLost, PeerLeaving,
+	ConfigStale, ConfigFresh, EntryUnreadable, HistoryLost,
+	PeerJoined, PeerSuspect, PeerLost, PeerLeaving, AnnouncementUnreadable,
 	UpstreamUp, UpstreamDown, UpstreamLeaving, UpstreamReclaimed, UpstreamOrdered,
 	UpstreamOrderFailed, ContentStruck, ContentQuarantined,
 }
--- /dev/null
+++ b/internal/relayd/listeners.go
@@ -0,0 +1,122 @@
+package relayd
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/citronscale/citronscale/event"
+	"github.com/citronscale/citronscale/internal/boottime"
+)
+
+const (
+	// headerTimeout and idleTimeout are for callers. The published limits may
+	// change while connections are open; these are well above them, so that no
+	// caller is cut off that keeps to its limits.
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 75 * time.Second
+	// maxHeaderBytes is several times the published limit.
+	maxHeaderBytes = 64 << 10
+)
+
+type listeners struct {
+	callers *http.Server
+	others  []*http.Server
+	log     *event.Logger
+}
+
+// listen opens all listeners and serves them.
+func (d *Daemon) listen() (*listeners, error) {
+	l := &listeners{log: d.log}
+	readiness := http.NewServeMux()
+	readiness.HandleFunc("/ready", d.serveReadiness)
+	operators := http.NewServeMux()
+	operators.Handle("/metrics", d.metrics.Handler())
+	operators.HandleFunc("/dump", d.serveDump)
+	l.callers = &http.Server{
+		Handler: d.relay, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
+	if err := l.serve(l.callers, d.settings.Listen.Callers); err != nil {
+		return nil, err
+	}
+	for _, other := range []struct {
+		address netip.AddrPort
+		handler http.Handler
+	}{
+		{d.settings.Listen.Readiness, readiness},
+		{d.settings.Listen.Operators, operators},
+		{d.settings.Listen.Metrics, operators},
+	} {
+		if !other.address.IsValid() {
+			continue
+		}
+		server := &http.Server{Handler: other.handler, ReadHeaderTimeout: headerTimeout}
+		l.others = append(l.others, server)
+		if err := l.serve(server, other.address); err != nil {
+			return nil, err
+		}
+	}
+	return l, nil
+}
+
+func (l *listeners) serve(server *http.Server, address netip.AddrPort) error {
+	listener, err := net.Listen("tcp4", address.String())
+	if err != nil {
+		return fmt.Errorf("listen at %s: %w", address, err)
+	}
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			l.log.Emit(event.ListenerFailed).Stringer("address", address).Err(err).Msg("")
+		}
+	}()
+	return nil
+}
+
+// close waits for the requests in flight until the given time, then cuts them.
+func (l *listeners) close(until time.Time) {
+	ctx, cancel := context.WithDeadline(context.Background(), until)
+	defer cancel()
+	if err := l.callers.Shutdown(ctx); err != nil {
+		l.log.Emit(event.RequestsCut).Err(err).Msg("")
+		_ = l.callers.Close() // the process ends
+	}
+	for _, server := range l.others {
+		_ = server.Close() // the process ends
+	}
+}
+
+// dump is the state of the process for operators.
+type dump struct {
+	Host      string        `json:"host"`
+	State     string        `json:"state"`
+	Ready     bool          `json:"ready"`
+	Version   uint64        `json:"config_version"`
+	ConfigAge time.Duration `json:"config_age_ns"`
+	InFlight  int64         `json:"in_flight"`
+	Hosts     int           `json:"hosts"`
+	Upstreams []string      `json:"upstreams"`
+	Streams   any           `json:"streams"`
+}
+
+func (d *Daemon) serveDump(w http.ResponseWriter, _ *http.Request) {
+	now := boottime.Now()
+	d.mu.Lock()
+	state := string(d.machine.State())
+	d.mu.Unlock()
+	out := dump{
+		Host: d.settings.Host, State: state, Ready: d.ready.Load(), ConfigAge: d.routes.Age(now),
+		InFlight: d.relay.InFlight(), Hosts: d.node.Hosts(), Upstreams: d.upstreams.IDs(), Streams: d.ledger.All(now),
+	}
+	if table := d.routes.Table(); table != nil {
+		out.Version = table.Version()
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(out); err != nil {
+		d.log.Emit(event.OutputFailed).Err(err).Msg("write a dump")
+	}
+}
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -38,6 +38,7 @@
 	results       metric.Int64Counter
 	retries       metric.Int64Counter
 	controlBytes  metric.Int64Counter
+	relay         relayInstruments
 }
 
 // New returns the instruments of one host on a registry of their own.
@@ -72,6 +73,7 @@
 	m.results = b.counter("requests", "", "Requests by result code and outcome.")
 	m.retries = b.counter("retries", "", "Attempts after the first, by the code that the one before ended with.")
 	m.controlBytes = b.counter("control_bytes", "By", "Bytes exchanged with peers for control.")
+	m.relay = b.relay()
 	m.levels = b.levels()
 	return b.err
 }
--- /dev/null
+++ b/metrics/relay.go
@@ -0,0 +1,71 @@
+package metrics
+
+import (
+	"context"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"github.com/citronscale/citronscale/code"
+)
+
+// relayInstruments are the instruments of the relay package.
+type relayInstruments struct {
+	requests   metric.Int64Counter
+	retries    metric.Int64Counter
+	duration   metric.Float64Histogram
+	first      metric.Float64Histogram
+	prediction metric.Float64Histogram
+}
+
+// Buckets in seconds around the goals of routes, and of the difference between
+// the first event and its prediction.
+var (
+	relayBuckets      = []float64{0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 1, 1.5, 2, 3, 5, 10, 15}
+	predictionBuckets = []float64{-2, -1, -0.5, -0.2, -0.1, -0.05, 0, 0.05, 0.1, 0.2, 0.5, 1, 2, 5}
+)
+
+func (b *builder) relay() relayInstruments {
+	return relayInstruments{
+		requests:   b.counter("relayed_requests", "", "Relayed requests by kind and result code."),
+		retries:    b.counter("relay_retries", "", "Attempts after the first of relayed requests, by the code before them."),
+		duration:   b.seconds("relay_duration", "Time from the arrival of a relayed request to its end.", relayBuckets),
+		first:      b.seconds("relay_first_event", "Time from the arrival of a relayed request to its first event.", relayBuckets),
+		prediction: b.seconds("relay_prediction_error", "First event of a stream, later than predicted.", predictionBuckets),
+	}
+}
+
+func relayOption(kind string, result code.Code) metric.MeasurementOption {
+	return metric.WithAttributes(attribute.String("kind", kind), attribute.Int("code", int(result)))
+}
+
+// Relayed counts the end of one relayed request.
+func (m *Metrics) Relayed(kind string, result code.Code, took time.Duration) {
+	if m == nil {
+		return
+	}
+	m.relay.requests.Add(context.Background(), 1, relayOption(kind, result))
+	m.relay.duration.Record(context.Background(), took.Seconds(), metric.WithAttributes(attribute.String("kind", kind)))
+}
+
+// RelayedFirstEvent records the time to the first event of a relayed request
+// and, if it was predicted, in seconds, how far the prediction was off.
+func (m *Metrics) RelayedFirstEvent(kind string, after time.Duration, predicted float64) {
+	if m == nil {
+		return
+	}
+	option := metric.WithAttributes(attribute.String("kind", kind))
+	m.relay.first.Record(context.Background(), after.Seconds(), option)
+	if predicted > 0 {
+		m.relay.prediction.Record(context.Background(), after.Seconds()-predicted, option)
+	}
+}
+
+// RelayRetried counts one attempt after the first.
+func (m *Metrics) RelayRetried(kind string, cause code.Code) {
+	if m == nil {
+		return
+	}
+	m.relay.retries.Add(context.Background(), 1, relayOption(kind, cause))
+}
--- /dev/null
+++ b/peering/message.go
@@ -0,0 +1,58 @@
+package peering
+
+import (
+	"encoding/binary"
+	"net/netip"
+	"time"
+
+	loadv1 "github.com/citronscale/citronscale/api/load/v1"
+	"github.com/citronscale/citronscale/place"
+)
+
+func packHost(host netip.Addr) uint32 {
+	if !host.Is4() {
+		return 0
+	}
+	four := host.As4()
+	return binary.BigEndian.Uint32(four[:])
+}
+
+func unpackHost(packed uint32) netip.Addr {
+	var four [4]byte
+	binary.BigEndian.PutUint32(four[:], packed)
+	return netip.AddrFrom4(four)
+}
+
+func millis(d time.Duration) uint32 {
+	return uint32(max(d, 0) / time.Millisecond)
+}
+
+func packStream(w place.Work, now time.Duration) *loadv1.Stream {
+	s := &loadv1.Stream{
+		Id: uint32(w.ID), PromptTokens: uint32(w.Prompt), AnswerTokens: uint32(w.Answer),
+		AgeMs: millis(now - w.PlacedAt), GapGoalMs: millis(w.GapGoal),
+	}
+	if w.Writing {
+		s.WritingMs = millis(now-w.WritingAt) + 1
+	}
+	for _, key := range w.Engines {
+		s.Engines = append(s.Engines, uint32(key))
+	}
+	return s
+}
+
+func unpackStream(s *loadv1.Stream, now time.Duration) place.Work {
+	w := place.Work{
+		ID: uint64(s.GetId()), Prompt: int(s.GetPromptTokens()), Answer: int(s.GetAnswerTokens()),
+		PlacedAt: now - time.Duration(s.GetAgeMs())*time.Millisecond,
+		GapGoal:  time.Duration(s.GetGapGoalMs()) * time.Millisecond,
+	}
+	if ms := s.GetWritingMs(); ms > 0 {
+		w.Writing = true
+		w.WritingAt = now - time.Duration(ms-1)*time.Millisecond
+	}
+	for _, key := range s.GetEngines() {
+		w.Engines = append(w.Engines, uint64(key))
+	}
+	return w
+}
--- /dev/null
+++ b/place/decide.go
@@ -0,0 +1,209 @@
+package place
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/citronscale/citronscale/costmodel"
+)
+
+// Engine is a candidate.
+type Engine struct {
+	Key     uint64
+	Failing float64 // recent share of failed requests, from 0 to 1
+	Avoided bool    // it could not be reached lately
+	Local   bool    // it is in the failure domain of this host
+	Load    *Load   // nil if it has nothing to do
+}
+
+// Request is a stream to be placed.
+type Request struct {
+	Prompt  int     // tokens
+	Answer  int     // expected tokens
+	Goal    float64 // milliseconds left until the first event is late
+	GapGoal float64 // milliseconds
+}
+
+// Plan says who works on a stream.
+type Plan struct {
+	Main    int   // index of the engine that writes
+	Helpers []int // indices of the engines that read parts of the prompt
+	First   float64
+	Harm    float64
+}
+
+const (
+	// Harm begins at lateFrom of a goal and is certain at lateAt: predictions
+	// miss what is placed within a round trip, and streams that come later.
+	lateFrom = 0.5
+	lateAt   = 1.1
+	// slowCost makes the earlier of two answers that are in time win.
+	slowCost = 0.05
+	// openCost is the price of the first writer of an engine: an engine without
+	// writers can read long prompts without a pause in anybody's answer.
+	openCost = 0.12
+	// helperCost is the price of each engine more, which may fail or stall.
+	helperCost = 0.004
+	// failingCost is the price of a share of failures of one.
+	failingCost = 0.8
+	// remoteCost is the price of another failure domain.
+	remoteCost = 0.01
+	// memoryShare is the part of an engine's memory that is planned with; the
+	// length of answers is an estimate.
+	memoryShare = 0.92
+	// mostHelpers is the largest number of helpers that an engine takes.
+	mostHelpers = 15
+	// helpFrom is the prompt, in tokens, from which helpers are weighed.
+	helpFrom = 6000
+)
+
+var splits = []int{1, 2, 3, 4, 6, 8, 12, mostHelpers + 1}
+
+// Decide returns the plan with the least expected harm. It returns false if no
+// engine has a place and the memory for the stream.
+func Decide(laws *costmodel.Laws, engines []Engine, r Request, rng *rand.Rand) (Plan, bool) {
+	best, found := Plan{}, false
+	order := rng.Perm(len(engines))
+	for _, parts := range splits {
+		if parts > 1 && (r.Prompt < helpFrom || parts > len(engines)) {
+			break
+		}
+		plan, ok := planFor(laws, engines, r, parts, order)
+		if ok && (!found || plan.Harm < best.Harm) {
+			best, found = plan, true
+		}
+	}
+	return best, found
+}
+
+// option is one engine with its share of a prompt.
+type option struct {
+	index  int
+	harm   float64 // to those that write there, and by its own failures
+	finish float64 // when it has read its part, milliseconds from now
+}
+
+func planFor(laws *costmodel.Laws, engines []Engine, r Request, parts int, order []int) (Plan, bool) {
+	part := laws.Read(r.Prompt, parts)
+	main := option{index: -1}
+	mainHarm := 0.0
+	options := make([]option, 0, len(engines))
+	for _, i := range order {
+		o := weigh(laws, &engines[i], i, r, part, parts)
+		if fits(laws, &engines[i], r) {
+			harm := o.harm + mainCost(laws, &engines[i], r, o)
+			if main.index < 0 || harm < mainHarm {
+				main, mainHarm = o, harm
+			}
+		}
+		options = append(options, o)
+	}
+	if main.index < 0 {
+		return Plan{}, false
+	}
+	plan := Plan{Main: main.index, Harm: main.harm}
+	finish := main.finish
+	plan.Helpers, finish = addHelpers(laws, engines, options, main.index, parts, r, &plan.Harm, finish)
+	if len(plan.Helpers) != parts-1 {
+		return Plan{}, false
+	}
+	plan.First = finish + tail(laws, engines[main.index].Load, r)
+	plan.Harm += Weight(r.Prompt) * (late(plan.First, r.Goal) + slowCost*plan.First/max(r.Goal, 1))
+	plan.Harm += opening(&engines[main.index])
+	return plan, true
+}
+
+func addHelpers(laws *costmodel.Laws, engines []Engine, options []option, main, parts int, r Request, harm *float64, finish float64) ([]int, float64) {
+	weight := Weight(r.Prompt)
+	slices.SortStableFunc(options, func(a, b option) int {
+		return cmp.Compare(a.harm+weight*late(a.finish, r.Goal)+a.finish/max(r.Goal, 1), b.harm+weight*late(b.finish, r.Goal)+b.finish/max(r.Goal, 1))
+	})
+	var helpers []int
+	for _, o := range options {
+		if len(helpers) == parts-1 {
+			break
+		}
+		if o.index == main || engines[o.index].Avoided || !canHelp(laws, engines[o.index].Load) {
+			continue
+		}
+		helpers = append(helpers, o.index)
+		*harm += o.harm + helperCost
+		finish = max(finish, o.finish)
+	}
+	return helpers, finish
+}
+
+func canHelp(laws *costmodel.Laws, load *Load) bool {
+	return load == nil || load.Helping < laws.Slots/2
+}
+
+// weigh says what a part of a prompt does to one engine.
+func weigh(laws *costmodel.Laws, e *Engine, index int, r Request, part float64, parts int) option {
+	o := option{index: index, harm: e.Failing * failingCost * Weight(r.Prompt) / float64(parts)}
+	if e.Avoided {
+		o.harm += Weight(r.Prompt)
+	}
+	if !e.Local {
+		o.harm += remoteCost
+	}
+	load := e.Load
+	if load == nil {
+		o.finish = part
+		return o
+	}
+	pass := 0.0
+	if len(load.Writers) > 0 {
+		pass = laws.Pass(len(load.Writers), load.Context)
+	}
+	before := laws.PassRead(load.Unread, load.Backlog)
+	after := laws.PassRead(load.Unread+r.Prompt/parts, load.Backlog+part)
+	for _, w := range load.Writers {
+		o.harm += w.Weight * (late(pass+after, w.GapGoal) - late(pass+before, w.GapGoal))
+	}
+	// A prompt is admitted at the end of the pass that runs, on average half of
+	// one away, and read within the next.
+	o.finish = load.Backlog + part + pass/2
+	return o
+}
+
+// tail returns the time from the end of reading to the first event: the rest
+// of the pass in which the prompt was read.
+func tail(laws *costmodel.Laws, load *Load, r Request) float64 {
+	if load == nil {
+		return laws.Pass(1, float64(r.Prompt))
+	}
+	return laws.Pass(len(load.Writers)+1, load.Context+float64(r.Prompt))
+}
+
+// mainCost is what matters at the engine that writes, beside its part.
+func mainCost(laws *costmodel.Laws, e *Engine, r Request, o option) float64 {
+	return Weight(r.Prompt)*(late(o.finish+tail(laws, e.Load, r), r.Goal)+slowCost*o.finish/max(r.Goal, 1)) + opening(e)
+}
+
+func opening(e *Engine) float64 {
+	if e.Load == nil || len(e.Load.Writers) == 0 {
+		return openCost
+	}
+	return 0
+}
+
+// fits reports whether an engine has a place and memory for the stream.
+func fits(laws *costmodel.Laws, e *Engine, r Request) bool {
+	writers, memory := 0, 0
+	if e.Load != nil {
+		writers, memory = len(e.Load.Writers), e.Load.Memory
+	}
+	if laws.Slots > 0 && writers >= laws.Slots {
+		return false
+	}
+	return float64(memory+r.Prompt+r.Answer) <= memoryShare*float64(laws.MemoryTokens)
+}
+
+// late returns the expected loss of an answer that takes x of a goal.
+func late(x, goal float64) float64 {
+	if goal <= 0 {
+		return 1
+	}
+	return min(max((x/goal-lateFrom)/(lateAt-lateFrom), 0), 1)
+}
--- /dev/null
+++ b/relay/attempt.go
@@ -0,0 +1,187 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"sync/atomic"
+	"time"
+
+	"github.com/citronscale/citronscale/code"
+	"github.com/citronscale/citronscale/fleet"
+	"github.com/citronscale/citronscale/internal/endtoend"
+	"github.com/citronscale/citronscale/internal/sentconn"
+	"github.com/citronscale/citronscale/retry"
+	"github.com/citronscale/citronscale/route"
+)
+
+// attempt is one request to one upstream.
+type attempt struct {
+	x        *exchange
+	upstream fleet.Upstream
+	ctx      context.Context
+	cancel   context.CancelFunc
+	watch    *sentconn.Watch
+	timer    *time.Timer
+	silent   atomic.Bool // the timer ended the attempt
+	response *http.Response
+	answer   Answer
+}
+
+// send sends the request and waits for the headers of the answer. It fails
+// with the code that the request ends with if nothing else is tried. The caller
+// closes the attempt.
+func (x *exchange) send(send Send, wait time.Duration) (*attempt, error) {
+	a := &attempt{x: x, upstream: send.Upstream}
+	a.ctx, a.cancel = context.WithCancel(x.ctx)
+	a.watch, a.ctx = sentconn.NewWatch(a.ctx)
+	a.timer = time.AfterFunc(wait, func() {
+		a.silent.Store(true)
+		a.cancel()
+	})
+	x.sends++
+	x.runs++
+	x.tried = append(x.tried, send.Upstream.ID)
+	response, err := x.s.transport.RoundTrip(x.outgoing(a.ctx, send))
+	if err != nil {
+		failure := a.failure(err)
+		a.close()
+		return nil, failure
+	}
+	a.response = response
+	a.answer = x.s.dialect.Answer(response.StatusCode, response.Header)
+	if err := a.check(); err != nil {
+		a.close()
+		return nil, err
+	}
+	return a, nil
+}
+
+// extend lets the attempt go on for another wait.
+func (a *attempt) extend(wait time.Duration) {
+	a.timer.Reset(wait)
+}
+
+func (a *attempt) close() {
+	a.timer.Stop()
+	a.cancel()
+	if a.response != nil {
+		_ = a.response.Body.Close() // the connection is not used again
+	}
+}
+
+func (x *exchange) outgoing(ctx context.Context, send Send) *http.Request {
+	header := x.s.dialect.Outgoing(endtoend.Header(x.in.Header), send)
+	if _, ok := header["User-Agent"]; !ok {
+		header["User-Agent"] = []string{""} // net/http would add its own
+	}
+	out := &http.Request{
+		Method: x.in.Method, URL: &url.URL{Scheme: "http", Host: send.Upstream.Address, Opaque: x.in.RequestURI},
+		Host: x.in.Host, Header: header, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		ContentLength: int64(len(x.body)), Body: http.NoBody,
+	}
+	if len(x.body) > 0 {
+		out.Body = io.NopCloser(bytes.NewReader(x.body))
+	}
+	return out.WithContext(ctx)
+}
+
+// failure turns an error of the connection into a code.
+func (a *attempt) failure(err error) error {
+	x := a.x
+	sent := a.watch.Sent()
+	switch {
+	case !sent && x.gone():
+		return code.New(code.CallerGoneBeforeStart, "the caller left")
+	case !sent && x.left() <= 0:
+		return code.New(code.DeadlineBeforeStart, "upstream %s was not reached in time: %w", a.upstream.ID, err)
+	case !sent:
+		x.runs--
+		return code.New(code.UpstreamUnavailable, "reach upstream %s at %s: %w", a.upstream.ID, a.upstream.Address, err)
+	case x.gone():
+		return code.New(code.CallerGone, "the caller left")
+	case x.left() <= minAttempt:
+		return code.New(code.DeadlineExceeded, "no whole answer from upstream %s in time", a.upstream.ID)
+	case a.silent.Load():
+		return code.New(code.UpstreamSilent, "upstream %s made no progress", a.upstream.ID)
+	default:
+		return code.New(code.UpstreamLost, "upstream %s at %s: %w", a.upstream.ID, a.upstream.Address, err)
+	}
+}
+
+// check fails if the answer says that the request did not run, or can't be the
+// answer to this request.
+func (a *attempt) check() error {
+	x := a.x
+	status := a.response.StatusCode
+	switch {
+	case a.answer.NotRun:
+		x.runs--
+		return code.New(code.NoCapacity, "upstream %s refused with status %d, fault %q", a.upstream.ID, status, a.answer.Fault)
+	case a.answer.RequestID != x.call.ID:
+		return code.New(code.AnswerIncomplete, "upstream %s answered request %q", a.upstream.ID, a.answer.RequestID)
+	case !a.answer.Sealed || a.response.Header.Get("Content-Encoding") != "":
+		return code.New(code.AnswerIncomplete, "upstream %s sent status %d without a seal", a.upstream.ID, status)
+	}
+	return nil
+}
+
+// again applies the retry rule to a failed attempt. It returns the final error
+// if nothing else is tried.
+func (x *exchange) again(failed error) error {
+	x.note("%v", failed)
+	if x.gone() {
+		return failed
+	}
+	c := code.Of(failed)
+	failure := retry.Failure{
+		Code: c, Attempt: x.runs, Idempotent: x.route.Repeatable(), Reported: true, Deadline: x.deadline(),
+	}
+	most := x.route.Attempts
+	if c.Outcome() == code.NotRun {
+		failure.Attempt = x.sends
+		most += refusalsMore
+	}
+	decision := x.s.decide(x.service.Name, most, failure)
+	if decision.Retry {
+		x.s.metrics.RelayRetried(x.route.Kind.String(), c)
+		return x.reroute()
+	}
+	if decision.Code != c {
+		return code.Wrap(failed, decision.Code)
+	}
+	return failed
+}
+
+// refusalsMore is how many attempts that did not run are made beyond the
+// attempts of a route. The retry budget bounds them over time.
+const refusalsMore = 2
+
+// reroute looks the request up anew: the configuration may have changed since
+// the last attempt.
+func (x *exchange) reroute() error {
+	kind, team := x.route.Kind, x.team
+	if err := x.resolve(); err != nil {
+		return err
+	}
+	if err := x.authorize(); err != nil {
+		return err
+	}
+	if x.route.Kind != kind || x.team != team {
+		return code.New(code.UpstreamUnavailable, "the route changed to kind %v while the request waited", x.route.Kind)
+	}
+	return nil
+}
+
+// chooseService draws the service of the next attempt.
+func (x *exchange) chooseService() {
+	table, r := x.table, x.route
+	x.service = draw(x.s, func(rng *rand.Rand) route.Service { return table.Service(r, rng) })
+	if !x.counted {
+		x.counted = true
+		x.s.countFirst(x.service.Name)
+	}
+}
--- /dev/null
+++ b/relay/placement.go
@@ -0,0 +1,140 @@
+package relay
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/citronscale/citronscale/code"
+	"github.com/citronscale/citronscale/costmodel"
+	"github.com/citronscale/citronscale/fleet"
+	"github.com/citronscale/citronscale/internal/boottime"
+	"github.com/citronscale/citronscale/place"
+)
+
+// EngineKey is the short name of an upstream in what hosts tell each other.
+func EngineKey(id string) uint64 {
+	return uint64(uint32(xxhash.Sum64String(id)))
+}
+
+// placement is the place of one attempt of a stream.
+type placement struct {
+	s       *Server
+	id      uint64
+	plan    place.Plan
+	main    fleet.Upstream
+	helpers []string // addresses
+	began   bool
+}
+
+// place picks the engines of a stream and tells the peers. Streams of one host
+// are placed one after the other, so that each sees the one before it.
+func (x *exchange) place() (*placement, error) {
+	now := boottime.Now()
+	views := x.untried(x.s.upstreams.Of(x.service.Name, now))
+	if len(views) == 0 {
+		return nil, code.New(code.NoCapacity, "service %q has no upstream left, %d were tried", x.service.Name, len(x.tried))
+	}
+	p, err := x.placeAmong(views, now)
+	if err != nil {
+		return nil, err
+	}
+	x.s.peers.Placed()
+	return p, nil
+}
+
+func (x *exchange) placeAmong(views []fleet.View, now time.Duration) (*placement, error) {
+	x.s.placing.Lock()
+	defer x.s.placing.Unlock()
+	laws := x.service.Engine
+	if laws == nil {
+		return x.placeAnywhere(views)
+	}
+	request := x.placeRequest(laws)
+	engines := x.engines(laws, views, now)
+	plan, ok := place.Decide(laws, engines, request, rand.New(rand.NewPCG(uint64(now), uint64(x.arrived))))
+	if !ok {
+		return nil, code.New(code.NoCapacity, "none of %d engines has room for %d tokens", len(engines), request.Prompt)
+	}
+	if first := costmodel.Millis(plan.First); first > min(x.left(), patience(x.route.Goal, x.route.GapGoal)) {
+		return nil, code.New(code.DeadlineTooShort, "the first event is expected in %v, %v are left", first, x.left())
+	}
+	p := &placement{s: x.s, id: uint64(x.s.nextID.Add(1)), plan: plan, main: views[plan.Main].Upstream}
+	keys := []uint64{engines[plan.Main].Key}
+	for _, i := range plan.Helpers {
+		p.helpers = append(p.helpers, views[i].Address)
+		keys = append(keys, engines[i].Key)
+	}
+	x.expected = max(x.expected, plan.First)
+	x.s.ledger.Begin(place.Work{
+		ID: p.id, Engines: keys, Prompt: request.Prompt, Answer: request.Answer, PlacedAt: now, GapGoal: x.route.GapGoal,
+	})
+	return p, nil
+}
+
+// placeAnywhere serves streams of services that publish no costs.
+func (x *exchange) placeAnywhere(views []fleet.View) (*placement, error) {
+	pick := draw(x.s, func(rng *rand.Rand) fleet.View {
+		v, _ := fleet.Choose(views, x.s.options.FailureDomain, nil, rng)
+		return v
+	})
+	p := &placement{s: x.s, id: uint64(x.s.nextID.Add(1)), main: pick.Upstream}
+	p.plan.First = float64(x.route.Goal / time.Millisecond)
+	return p, nil
+}
+
+// untried leaves out the upstreams that had an attempt, unless none is left.
+func (x *exchange) untried(views []fleet.View) []fleet.View {
+	fresh := slices.DeleteFunc(slices.Clone(views), func(v fleet.View) bool { return slices.Contains(x.tried, v.ID) })
+	if len(fresh) == 0 {
+		return views
+	}
+	return fresh
+}
+
+func (x *exchange) placeRequest(laws *costmodel.Laws) place.Request {
+	answer := laws.UsualAnswer
+	if x.call.HintAnswer > 0 {
+		answer = x.call.HintAnswer
+	}
+	if x.call.MostAnswer > 0 {
+		answer = min(answer, x.call.MostAnswer)
+	}
+	goal := x.route.Goal - (boottime.Now() - x.arrived)
+	return place.Request{
+		Prompt: x.call.Prompt, Answer: answer,
+		Goal: float64(goal) / float64(time.Millisecond), GapGoal: float64(x.route.GapGoal) / float64(time.Millisecond),
+	}
+}
+
+func (x *exchange) engines(laws *costmodel.Laws, views []fleet.View, now time.Duration) []place.Engine {
+	loads := place.Loads(laws, x.s.ledger.All(now), now)
+	engines := make([]place.Engine, len(views))
+	for i := range views {
+		v := &views[i]
+		key := EngineKey(v.ID)
+		engines[i] = place.Engine{
+			Key: key, Failing: v.Failing, Avoided: v.Avoided,
+			Local: v.FailureDomain == x.s.options.FailureDomain, Load: loads[key],
+		}
+	}
+	return engines
+}
+
+// writing records the first event.
+func (p *placement) writing() {
+	if p.began {
+		return
+	}
+	p.began = true
+	p.s.ledger.FirstEvent(p.id, boottime.Now())
+	p.s.peers.Progressed()
+}
+
+// end records that the stream has left its engines.
+func (p *placement) end() {
+	p.s.ledger.End(p.id)
+	p.s.peers.Progressed()
+}
--- a/retry/policy.go
+++ b/retry/policy.go
@@ -31,6 +31,7 @@
 	Code       code.Code
 	Attempt    int           // number of the failed attempt, from 1
 	Idempotent bool          // the request may run more than once
+	Reported   bool          // a failure that the upstream reported is worth another attempt
 	Deadline   time.Time     // of the request
 	RetryAfter time.Duration // shortest delay that the upstream or owner asked for
 }
@@ -67,6 +68,8 @@
 		return true
 	case code.UpstreamLost, code.UpstreamSilent, code.AnswerIncomplete:
 		return failure.Idempotent
+	case code.UpstreamFailed:
+		return failure.Idempotent && failure.Reported
 	default:
 		return false
 	}
--- /dev/null
+++ b/route/table.go
@@ -0,0 +1,102 @@
+package route
+
+import (
+	"math/rand/v2"
+	"net"
+	"sort"
+	"strings"
+)
+
+// Table answers which route and which team a request belongs to.
+type Table struct {
+	config *Config
+	hosts  map[string][]*Route // longest prefix first
+	keys   map[string]*Team
+}
+
+// NewTable returns the table of a valid configuration, which must not change
+// afterwards.
+func NewTable(config *Config) (*Table, error) {
+	if err := config.Validate(); err != nil {
+		return nil, err
+	}
+	t := &Table{config: config, hosts: map[string][]*Route{}, keys: map[string]*Team{}}
+	for i := range config.Routes {
+		r := &config.Routes[i]
+		host := strings.ToLower(r.Host)
+		t.hosts[host] = append(t.hosts[host], r)
+	}
+	for _, routes := range t.hosts {
+		sort.SliceStable(routes, func(i, j int) bool {
+			return len(routes[i].PathPrefix) > len(routes[j].PathPrefix)
+		})
+	}
+	for i := range config.Teams {
+		for _, key := range config.Teams[i].Keys {
+			t.keys[key] = &config.Teams[i]
+		}
+	}
+	return t, nil
+}
+
+// Version returns the number of the configuration.
+func (t *Table) Version() uint64 {
+	return t.config.Version
+}
+
+// Limits returns what callers may send.
+func (t *Table) Limits() Limits {
+	return t.config.Limits
+}
+
+// Routes returns the number of routes.
+func (t *Table) Routes() int {
+	return len(t.config.Routes)
+}
+
+// Match returns the route with the longest prefix of the path, or nil. The
+// host may carry a port.
+func (t *Table) Match(host, path string) *Route {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	for _, r := range t.hosts[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.PathPrefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// HasTeams reports whether routes that are not public need a key.
+func (t *Table) HasTeams() bool {
+	return len(t.config.Teams) > 0
+}
+
+// Team returns the team that holds a key, or nil.
+func (t *Table) Team(key string) *Team {
+	return t.keys[key]
+}
+
+// Service draws one of the backends of a route by weight.
+func (t *Table) Service(r *Route, rng *rand.Rand) Service {
+	total := 0
+	for _, b := range r.Backends {
+		total += b.Weight
+	}
+	at := rng.IntN(max(total, 1))
+	for _, b := range r.Backends {
+		if at < b.Weight {
+			return t.service(b.Service)
+		}
+		at -= b.Weight
+	}
+	return t.service(r.Backends[0].Service)
+}
+
+func (t *Table) service(name string) Service {
+	if s, ok := t.config.Services[name]; ok {
+		return s
+	}
+	return Service{Name: name}
+}
--- a/scripts/generate.sh
+++ b/scripts/generate.sh
@@ -5,4 +5,4 @@
 cd "$(dirname "$0")/.."
 protoc -I api --go_out=api --go_opt=paths=source_relative \
   --connect-go_out=api --connect-go_opt=paths=source_relative \
-  api/peer/v1/peer.proto api/operator/v1/operator.proto
+  api/peer/v1/peer.proto api/load/v1/load.proto api/operator/v1/operator.proto
