Placement: an engine reads parts for others before its own prompts

Change: loads replay what each engine had to read, parts for others first; a plan pays for the prompts that its parts delay. Streams are cut only after most of the caller's patience.

--- a/place/decide.go
+++ b/place/decide.go
@@ -79,18 +79,19 @@
 
 // option is one engine with its share of a prompt.
 type option struct {
-	index  int
-	harm   float64 // to those that write there, and by its own failures
-	finish float64 // when it has read its part, milliseconds from now
+	index int
+	harm  float64 // to those that write there, and by its own failures
+	delay float64 // harm to those that wait there to be read, if it helps
+	help  float64 // when it has read its part as a helper, milliseconds from now
+	read  float64 // the same as the engine that writes
 }
 
 func planFor(laws *costmodel.Laws, engines []Engine, r Request, parts int, order []int) (Plan, bool) {
-	part := laws.Read(r.Prompt, parts)
 	main := option{index: -1}
 	mainHarm := 0.0
 	options := make([]option, 0, len(engines))
 	for _, i := range order {
-		o := weigh(laws, &engines[i], i, r, part, parts)
+		o := weigh(laws, &engines[i], i, r, parts)
 		if fits(laws, &engines[i], r) {
 			harm := o.harm + mainCost(laws, &engines[i], r, o)
 			if main.index < 0 || harm < mainHarm {
@@ -103,13 +104,13 @@
 		return Plan{}, false
 	}
 	plan := Plan{Main: main.index, Harm: main.harm}
-	finish := main.finish
+	finish := main.read
 	plan.Helpers, finish = addHelpers(laws, engines, options, main.index, parts, r, &plan.Harm, finish)
 	if len(plan.Helpers) != parts-1 {
 		return Plan{}, false
 	}
 	plan.First = finish + tail(laws, engines[main.index].Load, r)
-	plan.Harm += Weight(r.Prompt) * (late(plan.First, r.Goal) + slowCost*plan.First/max(r.Goal, 1))
+	plan.Harm += Weight(r.Prompt) * (late(plan.First, r.Goal) + slowCost*plan.First/max(r.Goal, minGoal))
 	plan.Harm += opening(&engines[main.index])
 	return plan, true
 }
@@ -117,7 +118,7 @@
 func addHelpers(laws *costmodel.Laws, engines []Engine, options []option, main, parts int, r Request, harm *float64, finish float64) ([]int, float64) {
 	weight := Weight(r.Prompt)
 	slices.SortStableFunc(options, func(a, b option) int {
-		return cmp.Compare(a.harm+weight*late(a.finish, r.Goal)+a.finish/max(r.Goal, 1), b.harm+weight*late(b.finish, r.Goal)+b.finish/max(r.Goal, 1))
+		return cmp.Compare(a.helpCost(weight, r.Goal), b.helpCost(weight, r.Goal))
 	})
 	var helpers []int
 	for _, o := range options {
@@ -128,42 +129,52 @@
 			continue
 		}
 		helpers = append(helpers, o.index)
-		*harm += o.harm + helperCost
-		finish = max(finish, o.finish)
+		*harm += o.harm + o.delay + helperCost
+		finish = max(finish, o.help)
 	}
 	return helpers, finish
 }
 
+// helpCost orders engines by how well they can help.
+func (o *option) helpCost(weight, goal float64) float64 {
+	return o.harm + o.delay + weight*(late(o.help, goal)+slowCost*o.help/max(goal, minGoal))
+}
+
 func canHelp(laws *costmodel.Laws, load *Load) bool {
 	return load == nil || load.Helping < laws.Slots/2
 }
 
 // weigh says what a part of a prompt does to one engine.
-func weigh(laws *costmodel.Laws, e *Engine, index int, r Request, part float64, parts int) option {
-	o := option{index: index, harm: e.Failing * failingCost * Weight(r.Prompt) / float64(parts)}
+func weigh(laws *costmodel.Laws, e *Engine, index int, r Request, parts int) option {
+	weight := Weight(r.Prompt)
+	part := partMillis(laws, e.Load, r.Prompt, parts)
+	o := option{index: index, harm: e.Failing * failingCost * weight / float64(parts)}
 	if e.Avoided {
-		o.harm += Weight(r.Prompt)
+		o.harm += weight
 	}
 	if !e.Local {
 		o.harm += remoteCost
 	}
 	load := e.Load
 	if load == nil {
-		o.finish = part
+		o.help, o.read = part, part
 		return o
 	}
 	pass := 0.0
 	if len(load.Writers) > 0 {
 		pass = laws.Pass(len(load.Writers), load.Context)
 	}
-	before := laws.PassRead(load.Unread, load.Backlog)
-	after := laws.PassRead(load.Unread+r.Prompt/parts, load.Backlog+part)
+	backlog := load.HelpLeft + load.ReadLeft
+	before := laws.PassRead(load.Unread, backlog)
+	after := laws.PassRead(load.Unread+r.Prompt/parts, backlog+part)
 	for _, w := range load.Writers {
 		o.harm += w.Weight * (late(pass+after, w.GapGoal) - late(pass+before, w.GapGoal))
 	}
 	// A prompt is admitted at the end of the pass that runs, on average half of
 	// one away, and read within the next.
-	o.finish = load.Backlog + part + pass/2
+	o.help = load.HelpLeft + part + pass/2
+	o.read = backlog + part + pass/2
+	o.delay = load.delayHarm(part)
 	return o
 }
 
@@ -178,7 +189,7 @@
 
 // mainCost is what matters at the engine that writes, beside its part.
 func mainCost(laws *costmodel.Laws, e *Engine, r Request, o option) float64 {
-	return Weight(r.Prompt)*(late(o.finish+tail(laws, e.Load, r), r.Goal)+slowCost*o.finish/max(r.Goal, 1)) + opening(e)
+	return Weight(r.Prompt)*(late(o.read+tail(laws, e.Load, r), r.Goal)+slowCost*o.read/max(r.Goal, minGoal)) + opening(e)
 }
 
 func opening(e *Engine) float64 {
--- a/place/ledger.go
+++ b/place/ledger.go
@@ -15,6 +15,7 @@
 	PlacedAt  time.Duration
 	Writing   bool // the first event has come
 	WritingAt time.Duration
+	Goal      time.Duration // after PlacedAt the first event is late
 	GapGoal   time.Duration
 }
 
--- a/place/loads.go
+++ b/place/loads.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -13,24 +14,37 @@
 	GapGoal float64 // milliseconds
 }
 
+// Reader is a stream whose prompt is not read yet. Times are in milliseconds
+// from now.
+type Reader struct {
+	Weight float64
+	First  float64 // when all engines have read their parts
+	Goal   float64 // when the first event is late
+}
+
+// waiting is a prompt that an engine reads for a stream that it will write.
+type waiting struct {
+	reader *Reader
+	finish float64 // when this engine has read its part, milliseconds from now
+}
+
 // Load is what one engine has to do.
 type Load struct {
-	Backlog float64 // milliseconds of prompts still to be read
-	Unread  int     // tokens of these prompts
-	Helping int     // prompts that it reads parts of for other engines
-	Writers []Writer
-	Context float64 // tokens of all its writers
-	Memory  int     // tokens that its prompts and answers take
+	HelpLeft float64 // milliseconds of parts that it reads for other engines
+	ReadLeft float64 // milliseconds of its own prompts; read after the former
+	Unread   int     // tokens of both
+	Helping  int     // parts that it reads for other engines
+	Writers  []Writer
+	Context  float64 // tokens of all its writers
+	Memory   int     // tokens that its prompts and answers take
+
+	waiting []waiting
 }
 
-const (
-	// weightTokens is the prompt length that doubles the weight of a stream:
-	// what an answer is worth to callers grows about in proportion to what it
-	// takes to read the prompt.
-	weightTokens = 8000.0
-	// firstStep is the least time that a placed prompt is counted as unread.
-	firstStep = 5.0 // milliseconds
-)
+// weightTokens is the prompt length that doubles the weight of a stream: what
+// an answer is worth to callers grows about in proportion to what it takes to
+// read the prompt.
+const weightTokens = 8000.0
 
 // Weight returns what an answer to a prompt is worth to its caller, against
 // that to a very short one.
@@ -38,59 +52,143 @@
 	return 1 + float64(prompt)/weightTokens
 }
 
+// job is the part of one prompt at one engine.
+type job struct {
+	work   *Work
+	help   bool
+	arrive float64 // milliseconds from now, negative
+	gone   float64 // when it is known to have been read; after now if it is not
+	left   float64 // milliseconds of reading
+	part   float64
+}
+
 // Loads derives the load of each engine from the streams under way.
 func Loads(laws *costmodel.Laws, works []Work, now time.Duration) map[uint64]*Load {
 	slices.SortFunc(works, func(a, b Work) int {
-		if a.PlacedAt != b.PlacedAt {
-			return int(a.PlacedAt - b.PlacedAt)
-		}
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
+		return cmp.Or(cmp.Compare(a.PlacedAt, b.PlacedAt), cmp.Compare(a.ID, b.ID))
 	})
 	loads := map[uint64]*Load{}
-	busy := map[uint64]float64{} // when the engine has read all, milliseconds from now
+	jobs := map[uint64][]job{}
 	for i := range works {
 		w := &works[i]
 		if len(w.Engines) == 0 {
 			continue
 		}
-		if !w.Writing {
-			addReading(laws, loads, busy, w, millis(w.PlacedAt-now))
-		}
 		addWriter(loads, w)
+		for n, key := range w.Engines {
+			j := job{work: w, help: n > 0, arrive: millis(w.PlacedAt - now), gone: 1}
+			if w.Writing {
+				j.gone = millis(w.WritingAt - now)
+			}
+			jobs[key] = append(jobs[key], j)
+		}
 	}
-	for key, until := range busy {
-		load := loads[key]
-		load.Backlog = max(load.Backlog, until)
+	readers := map[*Work]*Reader{}
+	for key, list := range jobs {
+		load := get(loads, key)
+		for i := range list {
+			list[i].part = partMillis(laws, load, list[i].work.Prompt, len(list[i].work.Engines))
+			list[i].left = list[i].part
+		}
+		replay(list)
+		load.addJobs(list, readers, now)
 	}
 	return loads
 }
 
-func addReading(laws *costmodel.Laws, loads map[uint64]*Load, busy map[uint64]float64, w *Work, placed float64) {
-	parts := len(w.Engines)
-	part := laws.Read(w.Prompt, parts)
-	for i, key := range w.Engines {
-		load := get(loads, key)
-		start := placed
-		if until, ok := busy[key]; ok {
-			start = max(start, until)
+// partMillis returns the time in which an engine reads its part of a prompt. An
+// engine with writers makes a step for them with each chunk.
+func partMillis(laws *costmodel.Laws, load *Load, tokens, parts int) float64 {
+	part := laws.Read(tokens, parts)
+	if load == nil || len(load.Writers) == 0 || laws.ChunkTokens == 0 {
+		return part
+	}
+	chunks := float64(tokens) / float64(parts) / float64(laws.ChunkTokens)
+	return part + chunks*laws.Step(len(load.Writers), load.Context)
+}
+
+// replay reads the jobs of one engine, in the order of their arrival, up to
+// now. Parts for other engines go first.
+func replay(jobs []job) {
+	for i := range jobs {
+		next := 0.0
+		if i+1 < len(jobs) {
+			next = min(jobs[i+1].arrive, 0)
 		}
-		finish := start + part
-		busy[key] = finish
-		if finish <= 0 {
-			continue
+		from := jobs[i].arrive
+		spend(jobs[:i+1], from, next)
+	}
+}
+
+// spend lets an engine read from one moment to another.
+func spend(jobs []job, from, to float64) {
+	at := from
+	for _, help := range []bool{true, false} {
+		for i := range jobs {
+			j := &jobs[i]
+			if j.help != help || j.left <= 0 {
+				continue
+			}
+			if j.gone <= at {
+				j.left = 0
+				continue
+			}
+			step := min(j.left, to-at)
+			if step <= 0 {
+				return
+			}
+			j.left -= step
+			at += step
 		}
-		load.Backlog = max(load.Backlog, firstStep)
-		left := min(finish/max(part, 1), 1)
-		load.Unread += int(left * float64(w.Prompt/parts))
-		if i > 0 {
-			load.Helping++
+	}
+}
+
+// unreadLeast is counted as left, in milliseconds, of a part that should be read
+// by now though its stream has not begun: the engine is slower than predicted.
+const unreadLeast = 2.0
+
+func (l *Load) addJobs(jobs []job, readers map[*Work]*Reader, now time.Duration) {
+	for _, help := range []bool{true, false} {
+		for i := range jobs {
+			j := &jobs[i]
+			if j.help != help || j.work.Writing {
+				continue
+			}
+			left := max(j.left, unreadLeast)
+			if help {
+				l.HelpLeft += left
+				l.Helping++
+			} else {
+				l.ReadLeft += left
+			}
+			l.Unread += int(left / max(j.part, 1) * float64(j.work.Prompt/len(j.work.Engines)))
+			r, ok := readers[j.work]
+			if !ok {
+				r = &Reader{Weight: Weight(j.work.Prompt), Goal: millis(j.work.PlacedAt + j.work.Goal - now)}
+				readers[j.work] = r
+			}
+			r.First = max(r.First, l.HelpLeft+l.ReadLeft)
+			if !help {
+				l.waiting = append(l.waiting, waiting{reader: r, finish: l.HelpLeft + l.ReadLeft})
+			}
 		}
 	}
 }
 
+// delayHarm returns the harm to the prompts that an engine reads for itself if
+// it first reads a part for another engine.
+func (l *Load) delayHarm(part float64) float64 {
+	harm := 0.0
+	for _, w := range l.waiting {
+		after := max(w.reader.First, w.finish+part)
+		harm += w.reader.Weight * (late(after, w.reader.Goal) - late(w.reader.First, w.reader.Goal) + slowCost*(after-w.reader.First)/max(w.reader.Goal, minGoal))
+	}
+	return harm
+}
+
+// minGoal keeps figures that are divided by a goal finite, in milliseconds.
+const minGoal = 50.0
+
 func addWriter(loads map[uint64]*Load, w *Work) {
 	load := get(loads, w.Engines[0])
 	load.Writers = append(load.Writers, Writer{Weight: Weight(w.Prompt), GapGoal: millis(w.GapGoal)})
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -133,6 +133,9 @@
 // if nothing else is tried.
 func (x *exchange) again(failed error) error {
 	x.note("%v", failed)
+	if len(x.helpers) > 0 {
+		x.note("helpers %v", x.helpers)
+	}
 	if x.gone() {
 		return failed
 	}
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -42,7 +42,9 @@
 	begun    bool     // the answer is under way to the caller
 	events   int
 	firstAt  time.Duration
-	expected float64 // milliseconds until the first event, as predicted
+	expected float64  // milliseconds until the first event, as predicted
+	helpers  []string // of the last attempt
+	placedAt time.Duration
 	status   int
 	result   error
 	notes    []string // why attempts failed
@@ -221,7 +223,8 @@
 		line = line.Uint64("config", x.table.Version()).Dur("config_age", x.s.routes.Age(boottime.Now()))
 	}
 	if x.expected > 0 {
-		line = line.Int("prompt", x.call.Prompt).Float64("expected_ms", x.expected).Int("events", x.events)
+		line = line.Int("prompt", x.call.Prompt).Float64("expected_ms", x.expected).Int("events", x.events).
+			Strs("helpers", x.helpers).Dur("placed", x.placedAt-x.arrived)
 		if x.firstAt > 0 {
 			line = line.Dur("first", x.firstAt-x.arrived)
 		}
--- a/relay/placement.go
+++ b/relay/placement.go
@@ -63,13 +63,16 @@
 	}
 	p := &placement{s: x.s, id: uint64(x.s.nextID.Add(1)), plan: plan, main: views[plan.Main].Upstream}
 	keys := []uint64{engines[plan.Main].Key}
+	x.helpers, x.placedAt = nil, now
 	for _, i := range plan.Helpers {
+		x.helpers = append(x.helpers, views[i].ID)
 		p.helpers = append(p.helpers, views[i].Address)
 		keys = append(keys, engines[i].Key)
 	}
 	x.expected = max(x.expected, plan.First)
 	x.s.ledger.Begin(place.Work{
-		ID: p.id, Engines: keys, Prompt: request.Prompt, Answer: request.Answer, PlacedAt: now, GapGoal: x.route.GapGoal,
+		ID: p.id, Engines: keys, Prompt: request.Prompt, Answer: request.Answer, PlacedAt: now,
+		Goal: costmodel.Millis(request.Goal), GapGoal: x.route.GapGoal,
 	})
 	return p, nil
 }
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"mime"
 	"net/http"
@@ -24,6 +25,10 @@
 		if err == nil {
 			return
 		}
+		if errors.Is(err, errNotPlaced) {
+			x.refuse(x.unplaced(err))
+			return
+		}
 		final := x.again(err)
 		if final == nil {
 			if x.begun {
@@ -50,7 +55,7 @@
 	}
 	p, err := x.place()
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("%w: %w", errNotPlaced, err)
 	}
 	x.s.upstreams.Begin(p.main.ID)
 	answer, err := x.follow(p)
@@ -59,6 +64,14 @@
 	return answer, err
 }
 
+// unplaced keeps a code that says whether an earlier attempt may have run.
+func (x *exchange) unplaced(err error) error {
+	if x.runs > 0 {
+		return code.Wrap(err, code.UpstreamLost)
+	}
+	return err
+}
+
 func (x *exchange) tooLate() error {
 	if x.runs > 0 {
 		return code.New(code.DeadlineExceeded, "no time is left for another attempt")
@@ -91,17 +104,15 @@
 	return nil, x.passEvents(a, p)
 }
 
-// firstWait is how long the first event may take: well over what was predicted,
-// and never less than the goal.
+// firstWait is how long the first event may take. A stream that is cut costs its
+// engine all that it has read, so only silence that no queue explains counts: a
+// dead engine is found by its connection.
 func (x *exchange) firstWait(p *placement) time.Duration {
-	predicted := costmodel.Millis(p.plan.First)
-	return min(max(x.route.Goal, 2*predicted+firstSlack), x.left())
+	const share = 0.7 // of the caller's patience; the rest is for the next upstream
+	patient := time.Duration(share * float64(patience(x.route.Goal, x.route.GapGoal)))
+	return min(max(patient, 2*costmodel.Millis(p.plan.First)), x.left())
 }
 
-// firstSlack covers what a prediction can't see: streams placed elsewhere at
-// the same moment and the round trips.
-const firstSlack = 700 * time.Millisecond
-
 // gapWait is how long a started stream may be silent: most of the time after
 // which its caller leaves.
 func (x *exchange) gapWait() time.Duration {
@@ -184,6 +195,9 @@
 	}
 }
 
+// errNotPlaced says that no engine was found for a stream.
+var errNotPlaced = errors.New("stream is not placed")
+
 var errLongEvent = errors.New("event is too long")
 
 // eventReader splits a stream into whole events.
