Placement: the newest part for another engine is read first

Cause: with parts for others in the order of arrival, predictions for many parts were still off by seconds; the order of the first events of one second was the reverse of their placement, so an engine reads a new part ahead of older ones. Change: the replay reads the newest part first; a plan pays for every stream that its parts delay, and for callers that leave, not only for late answers.

--- a/place/decide.go
+++ b/place/decide.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math/rand/v2"
 	"slices"
+	"time"
 
 	"github.com/citronscale/citronscale/costmodel"
 )
@@ -23,6 +24,7 @@
 	Answer  int     // expected tokens
 	Goal    float64 // milliseconds left until the first event is late
 	GapGoal float64 // milliseconds
+	Patient float64 // milliseconds left until the caller leaves
 }
 
 // Plan says who works on a stream.
@@ -110,7 +112,7 @@
 		return Plan{}, false
 	}
 	plan.First = finish + tail(laws, engines[main.index].Load, r)
-	plan.Harm += Weight(r.Prompt) * (late(plan.First, r.Goal) + slowCost*plan.First/max(r.Goal, minGoal))
+	plan.Harm += Weight(r.Prompt) * (loss(plan.First, r.Goal, r.Patient) + slowCost*plan.First/max(r.Goal, minGoal))
 	plan.Harm += opening(&engines[main.index])
 	return plan, true
 }
@@ -118,7 +120,7 @@
 func addHelpers(laws *costmodel.Laws, engines []Engine, options []option, main, parts int, r Request, harm *float64, finish float64) ([]int, float64) {
 	weight := Weight(r.Prompt)
 	slices.SortStableFunc(options, func(a, b option) int {
-		return cmp.Compare(a.helpCost(weight, r.Goal), b.helpCost(weight, r.Goal))
+		return cmp.Compare(a.helpCost(weight, r), b.helpCost(weight, r))
 	})
 	var helpers []int
 	for _, o := range options {
@@ -136,8 +138,8 @@
 }
 
 // helpCost orders engines by how well they can help.
-func (o *option) helpCost(weight, goal float64) float64 {
-	return o.harm + o.delay + weight*(late(o.help, goal)+slowCost*o.help/max(goal, minGoal))
+func (o *option) helpCost(weight float64, r Request) float64 {
+	return o.harm + o.delay + weight*(loss(o.help, r.Goal, r.Patient)+slowCost*o.help/max(r.Goal, minGoal))
 }
 
 func canHelp(laws *costmodel.Laws, load *Load) bool {
@@ -172,7 +174,7 @@
 	}
 	// A prompt is admitted at the end of the pass that runs, on average half of
 	// one away, and read within the next.
-	o.help = load.HelpLeft + part + pass/2
+	o.help = part + pass/2
 	o.read = backlog + part + pass/2
 	o.delay = load.delayHarm(part)
 	return o
@@ -189,7 +191,7 @@
 
 // mainCost is what matters at the engine that writes, beside its part.
 func mainCost(laws *costmodel.Laws, e *Engine, r Request, o option) float64 {
-	return Weight(r.Prompt)*(late(o.read+tail(laws, e.Load, r), r.Goal)+slowCost*o.read/max(r.Goal, minGoal)) + opening(e)
+	return Weight(r.Prompt)*(loss(o.read+tail(laws, e.Load, r), r.Goal, r.Patient)+slowCost*o.read/max(r.Goal, minGoal)) + opening(e)
 }
 
 func opening(e *Engine) float64 {
@@ -211,6 +213,25 @@
 	return float64(memory+r.Prompt+r.Answer) <= memoryShare*float64(laws.MemoryTokens)
 }
 
+// Patience is how long a caller waits for an event before it leaves: by
+// agreement with callers the longest of these three.
+func Patience(goal, gap time.Duration) time.Duration {
+	return max(leastPatience, 4*goal, 8*gap)
+}
+
+const leastPatience = 2 * time.Second
+
+// lateShare is the part of an answer's worth that is lost if it is late; the
+// rest is lost if the caller leaves. Callers value a late answer at about a
+// quarter.
+const lateShare = 0.75
+
+// loss returns the expected loss, as a share of its worth, of an answer whose
+// first event takes x.
+func loss(x, goal, patience float64) float64 {
+	return lateShare*late(x, goal) + (1-lateShare)*late(x, patience)
+}
+
 // late returns the expected loss of an answer that takes x of a goal.
 func late(x, goal float64) float64 {
 	if goal <= 0 {
--- a/place/loads.go
+++ b/place/loads.go
@@ -14,24 +14,30 @@
 	GapGoal float64 // milliseconds
 }
 
-// Reader is a stream whose prompt is not read yet. Times are in milliseconds
+// reader is a stream whose prompt is not read yet. Times are in milliseconds
 // from now.
-type Reader struct {
-	Weight float64
-	First  float64 // when all engines have read their parts
-	Goal   float64 // when the first event is late
+type reader struct {
+	weight   float64
+	first    float64 // when all engines have read their parts
+	goal     float64 // when the first event is late
+	patience float64 // when the caller leaves
 }
 
-// waiting is a prompt that an engine reads for a stream that it will write.
+// loss returns what a first event at a time costs the caller.
+func (r *reader) loss(at float64) float64 {
+	return r.weight * loss(at, r.goal, r.patience)
+}
+
+// waiting is a stream that waits for its part at one engine.
 type waiting struct {
-	reader *Reader
+	reader *reader
 	finish float64 // when this engine has read its part, milliseconds from now
 }
 
 // Load is what one engine has to do.
 type Load struct {
 	HelpLeft float64 // milliseconds of parts that it reads for other engines
-	ReadLeft float64 // milliseconds of its own prompts; read after the former
+	ReadLeft float64 // milliseconds of the prompts of its own streams
 	Unread   int     // tokens of both
 	Helping  int     // parts that it reads for other engines
 	Writers  []Writer
@@ -83,7 +89,7 @@
 			jobs[key] = append(jobs[key], j)
 		}
 	}
-	readers := map[*Work]*Reader{}
+	readers := map[*Work]*reader{}
 	for key, list := range jobs {
 		load := get(loads, key)
 		for i := range list {
@@ -107,8 +113,9 @@
 	return part + chunks*laws.Step(len(load.Writers), load.Context)
 }
 
-// replay reads the jobs of one engine, in the order of their arrival, up to
-// now. Parts for other engines go first.
+// replay reads the jobs of one engine up to now. An engine reads a part for
+// another engine at once, ahead of all it has to read, so the newest goes first;
+// prompts of its own streams follow in the order of their arrival.
 func replay(jobs []job) {
 	for i := range jobs {
 		next := 0.0
@@ -120,68 +127,79 @@
 	}
 }
 
+// readingOrder calls f with the jobs in the order in which an engine reads them.
+func readingOrder(jobs []job, f func(j *job) bool) {
+	for i := range slices.Backward(jobs) {
+		if jobs[i].help && !f(&jobs[i]) {
+			return
+		}
+	}
+	for i := range jobs {
+		if !jobs[i].help && !f(&jobs[i]) {
+			return
+		}
+	}
+}
+
 // spend lets an engine read from one moment to another.
 func spend(jobs []job, from, to float64) {
 	at := from
-	for _, help := range []bool{true, false} {
-		for i := range jobs {
-			j := &jobs[i]
-			if j.help != help || j.left <= 0 {
-				continue
-			}
-			if j.gone <= at {
-				j.left = 0
-				continue
-			}
-			step := min(j.left, to-at)
-			if step <= 0 {
-				return
-			}
-			j.left -= step
-			at += step
+	readingOrder(jobs, func(j *job) bool {
+		if j.gone <= at {
+			j.left = 0
 		}
-	}
+		step := min(j.left, to-at)
+		j.left -= step
+		at += step
+		return at < to
+	})
 }
 
 // unreadLeast is counted as left, in milliseconds, of a part that should be read
 // by now though its stream has not begun: the engine is slower than predicted.
 const unreadLeast = 2.0
 
-func (l *Load) addJobs(jobs []job, readers map[*Work]*Reader, now time.Duration) {
-	for _, help := range []bool{true, false} {
-		for i := range jobs {
-			j := &jobs[i]
-			if j.help != help || j.work.Writing {
-				continue
-			}
-			left := max(j.left, unreadLeast)
-			if help {
-				l.HelpLeft += left
-				l.Helping++
-			} else {
-				l.ReadLeft += left
-			}
-			l.Unread += int(left / max(j.part, 1) * float64(j.work.Prompt/len(j.work.Engines)))
-			r, ok := readers[j.work]
-			if !ok {
-				r = &Reader{Weight: Weight(j.work.Prompt), Goal: millis(j.work.PlacedAt + j.work.Goal - now)}
-				readers[j.work] = r
-			}
-			r.First = max(r.First, l.HelpLeft+l.ReadLeft)
-			if !help {
-				l.waiting = append(l.waiting, waiting{reader: r, finish: l.HelpLeft + l.ReadLeft})
-			}
+func (l *Load) addJobs(jobs []job, readers map[*Work]*reader, now time.Duration) {
+	readingOrder(jobs, func(j *job) bool {
+		if j.work.Writing {
+			return true
 		}
+		left := max(j.left, unreadLeast)
+		if j.help {
+			l.HelpLeft += left
+			l.Helping++
+		} else {
+			l.ReadLeft += left
+		}
+		l.Unread += int(left / max(j.part, 1) * float64(j.work.Prompt/len(j.work.Engines)))
+		r, ok := readers[j.work]
+		if !ok {
+			r = newReader(j.work, now)
+			readers[j.work] = r
+		}
+		finish := l.HelpLeft + l.ReadLeft
+		r.first = max(r.first, finish)
+		l.waiting = append(l.waiting, waiting{reader: r, finish: finish})
+		return true
+	})
+}
+
+func newReader(w *Work, now time.Duration) *reader {
+	return &reader{
+		weight:   Weight(w.Prompt),
+		goal:     millis(w.PlacedAt + w.Goal - now),
+		patience: millis(w.PlacedAt + Patience(w.Goal, w.GapGoal) - now),
 	}
 }
 
-// delayHarm returns the harm to the prompts that an engine reads for itself if
-// it first reads a part for another engine.
+// delayHarm returns the harm to the streams that wait at an engine if it first
+// reads a part for another engine.
 func (l *Load) delayHarm(part float64) float64 {
 	harm := 0.0
 	for _, w := range l.waiting {
-		after := max(w.reader.First, w.finish+part)
-		harm += w.reader.Weight * (late(after, w.reader.Goal) - late(w.reader.First, w.reader.Goal) + slowCost*(after-w.reader.First)/max(w.reader.Goal, minGoal))
+		after := max(w.reader.first, w.finish+part)
+		harm += w.reader.loss(after) - w.reader.loss(w.reader.first)
+		harm += w.reader.weight * slowCost * (after - w.reader.first) / max(w.reader.goal, minGoal)
 	}
 	return harm
 }
--- a/relay/options.go
+++ b/relay/options.go
@@ -46,12 +46,6 @@
 	retryShare = 0.7
 )
 
-// patience is how long a caller waits between the events of a stream before it
-// leaves: by agreement with callers the longest of these three.
-func patience(goal, gap time.Duration) time.Duration {
-	return max(2*time.Second, 4*goal, 8*gap)
-}
-
 // retryPolicy tries again at once, at another upstream: the first one failed
 // by itself, and waiting helps nobody.
 func retryPolicy(attempts int) retry.Policy {
--- a/relay/placement.go
+++ b/relay/placement.go
@@ -58,7 +58,7 @@
 	if !ok {
 		return nil, code.New(code.NoCapacity, "none of %d engines has room for %d tokens", len(engines), request.Prompt)
 	}
-	if first := costmodel.Millis(plan.First); first > min(x.left(), patience(x.route.Goal, x.route.GapGoal)) {
+	if first := costmodel.Millis(plan.First); first > min(x.left(), place.Patience(x.route.Goal, x.route.GapGoal)) {
 		return nil, code.New(code.DeadlineTooShort, "the first event is expected in %v, %v are left", first, x.left())
 	}
 	p := &placement{s: x.s, id: uint64(x.s.nextID.Add(1)), plan: plan, main: views[plan.Main].Upstream}
@@ -105,10 +105,13 @@
 	if x.call.MostAnswer > 0 {
 		answer = min(answer, x.call.MostAnswer)
 	}
-	goal := x.route.Goal - (boottime.Now() - x.arrived)
+	waited := boottime.Now() - x.arrived
+	goal := x.route.Goal - waited
+	patient := min(place.Patience(x.route.Goal, x.route.GapGoal)-waited, x.left())
 	return place.Request{
 		Prompt: x.call.Prompt, Answer: answer,
 		Goal: float64(goal) / float64(time.Millisecond), GapGoal: float64(x.route.GapGoal) / float64(time.Millisecond),
+		Patient: float64(patient) / float64(time.Millisecond),
 	}
 }
 
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -15,6 +15,7 @@
 	"github.com/citronscale/citronscale/event"
 	"github.com/citronscale/citronscale/internal/boottime"
 	"github.com/citronscale/citronscale/internal/endtoend"
+	"github.com/citronscale/citronscale/place"
 )
 
 // serveStream serves a request whose events are passed on as they come. A
@@ -109,7 +110,7 @@
 // dead engine is found by its connection.
 func (x *exchange) firstWait(p *placement) time.Duration {
 	const share = 0.7 // of the caller's patience; the rest is for the next upstream
-	patient := time.Duration(share * float64(patience(x.route.Goal, x.route.GapGoal)))
+	patient := time.Duration(share * float64(place.Patience(x.route.Goal, x.route.GapGoal)))
 	return min(max(patient, 2*costmodel.Millis(p.plan.First)), x.left())
 }
 
@@ -117,7 +118,7 @@
 // which its caller leaves.
 func (x *exchange) gapWait() time.Duration {
 	const share = 0.75 // of the caller's patience; the rest is for the next upstream
-	return min(time.Duration(share*float64(patience(x.route.Goal, x.route.GapGoal))), x.left())
+	return min(time.Duration(share*float64(place.Patience(x.route.Goal, x.route.GapGoal))), x.left())
 }
 
 func (x *exchange) passEvents(a *attempt, p *placement) error {
