--- a/internal/relayd/daemon.go
+++ b/internal/relayd/daemon.go
@@ -34,10 +34,10 @@
 	bufferShare = 0.2
 	// confirmShare of the time after which a revoked key must be refused is how
 	// long one confirmation holds; the rest is for requests on their way.
-	confirmShare = 0.8
-	// watchShare of the same time is how long a watch waits, so that two fit into
-	// one confirmation.
-	watchShare = 0.4
+	confirmShare = 0.9
+	// watchShare of the same time is how long a watch waits: an answer must come
+	// before the confirmation of the one before it runs out.
+	watchShare = 0.6
 	// admitShare of the grace is how long a leaving host takes new requests: the
 	// balancer needs about two seconds to see that it is not ready.
 	admitShare = 0.35
@@ -89,14 +89,14 @@
 		Address: settings.Platform.Store.String(), WatchWait: time.Duration(watchShare * float64(settings.revoke())),
 	}, d.routes, d.upstreams, d.log, newRng())
 	d.relay = relay.New(relay.Options{
-		FailureDomain: settings.FailureDomain, FailClosed: settings.Keys.FailClosed,
+		Host: settings.Host, FailureDomain: settings.FailureDomain, FailClosed: settings.Keys.FailClosed,
 		ConfirmWithin: time.Duration(confirmShare * float64(settings.revoke())),
 		BufferBytes:   int64(bufferShare * settings.Machine.MemoryMB * megabyte),
 		RetryRatio:    settings.Retries.Ratio, RetrySlack: settings.Retries.Slack,
 		RetryWindow:  settings.retryWindow(),
 		AdmitLeaving: time.Duration(admitShare * float64(settings.grace())),
 	}, relay.Parts{
-		Dialect: platform.Headers{}, Routes: d.routes, Upstreams: d.upstreams, Ledger: d.ledger,
+		Dialect: platform.Headers{}, Memory: platform.NewMemory(), Routes: d.routes, Upstreams: d.upstreams, Ledger: d.ledger,
 		Peers: d.node, Log: d.log, Metrics: d.metrics, Rng: newRng(),
 	})
 	return d, nil
--- a/peering/message.go
+++ b/peering/message.go
@@ -31,6 +31,7 @@
 	s := &loadv1.Stream{
 		Id: uint32(w.ID), PromptTokens: uint32(w.Prompt), AnswerTokens: uint32(w.Answer),
 		AgeMs: millis(now - w.PlacedAt), GapGoalMs: millis(w.GapGoal), GoalMs: millis(w.Goal),
+		Holders: uint32(w.Holders), ShareTokens: uint32(w.Share),
 	}
 	if w.Writing {
 		s.WritingMs = millis(now-w.WritingAt) + 1
@@ -44,6 +45,7 @@
 func unpackStream(s *loadv1.Stream, now time.Duration) place.Work {
 	w := place.Work{
 		ID: uint64(s.GetId()), Prompt: int(s.GetPromptTokens()), Answer: int(s.GetAnswerTokens()),
+		Holders: int(s.GetHolders()), Share: int(s.GetShareTokens()),
 		PlacedAt: now - time.Duration(s.GetAgeMs())*time.Millisecond,
 		Goal:     time.Duration(s.GetGoalMs()) * time.Millisecond,
 		GapGoal:  time.Duration(s.GetGapGoalMs()) * time.Millisecond,
--- a/place/decide.go
+++ b/place/decide.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -29,9 +30,11 @@
 
 // Plan says who works on a stream.
 type Plan struct {
-	Main    int   // index of the engine that writes
-	Helpers []int // indices of the engines that read parts of the prompt
-	First   float64
+	Main    int     // index of the engine that writes
+	Helpers []int   // indices of the engines that read parts of the prompt
+	Holders int     // the first helpers that also hold a part of it in their memory
+	Share   int     // tokens that each of them holds
+	First   float64 // milliseconds until the first event
 	Harm    float64
 }
 
@@ -54,6 +57,9 @@
 	// memoryShare is the part of an engine's memory that is planned with; the
 	// length of answers is an estimate.
 	memoryShare = 0.92
+	// partShare is the largest part of an engine's memory that one part of a
+	// prompt takes that no engine can hold alone.
+	partShare = 0.35
 	// mostHelpers is the largest number of helpers that an engine takes.
 	mostHelpers = 15
 	// helpFrom is the prompt, in tokens, from which helpers are weighed.
@@ -63,15 +69,19 @@
 var splits = []int{1, 2, 3, 4, 6, 8, 12, mostHelpers + 1}
 
 // Decide returns the plan with the least expected harm. It returns false if no
-// engine has a place and the memory for the stream.
+// engines have the places and the memory for the stream.
 func Decide(laws *costmodel.Laws, engines []Engine, r Request, rng *rand.Rand) (Plan, bool) {
 	best, found := Plan{}, false
 	order := rng.Perm(len(engines))
+	holders, share := Spread(laws, r)
 	for _, parts := range splits {
+		if parts <= holders {
+			continue
+		}
 		if parts > 1 && (r.Prompt < helpFrom || parts > len(engines)) {
 			break
 		}
-		plan, ok := planFor(laws, engines, r, parts, order)
+		plan, ok := planFor(laws, engines, r, split{parts, holders, share}, order)
 		if ok && (!found || plan.Harm < best.Harm) {
 			best, found = plan, true
 		}
@@ -79,6 +89,24 @@
 	return best, found
 }
 
+// Spread returns how many helpers have to hold a part of a prompt, and how many
+// tokens each, because one engine can't hold it. Parts are kept well below the
+// memory of an engine, which holds other prompts too.
+func Spread(laws *costmodel.Laws, r Request) (holders, share int) {
+	need := r.Prompt + r.Answer
+	if float64(need) <= memoryShare*float64(laws.MemoryTokens) {
+		return 0, 0
+	}
+	most := partShare * float64(laws.MemoryTokens)
+	engines := int(math.Ceil(float64(need) / most))
+	return engines - 1, need / engines
+}
+
+// split is one way to divide a prompt.
+type split struct {
+	parts, holders, share int
+}
+
 // option is one engine with its share of a prompt.
 type option struct {
 	index int
@@ -88,13 +116,13 @@
 	read  float64 // the same as the engine that writes
 }
 
-func planFor(laws *costmodel.Laws, engines []Engine, r Request, parts int, order []int) (Plan, bool) {
+func planFor(laws *costmodel.Laws, engines []Engine, r Request, way split, order []int) (Plan, bool) {
 	main := option{index: -1}
 	mainHarm := 0.0
 	options := make([]option, 0, len(engines))
 	for _, i := range order {
-		o := weigh(laws, &engines[i], i, r, parts)
-		if fits(laws, &engines[i], r) {
+		o := weigh(laws, &engines[i], i, r, way.parts)
+		if fits(laws, &engines[i], r.Prompt+r.Answer-way.holders*way.share) {
 			harm := o.harm + mainCost(laws, &engines[i], r, o)
 			if main.index < 0 || harm < mainHarm {
 				main, mainHarm = o, harm
@@ -105,36 +133,48 @@
 	if main.index < 0 {
 		return Plan{}, false
 	}
-	plan := Plan{Main: main.index, Harm: main.harm}
-	finish := main.read
-	plan.Helpers, finish = addHelpers(laws, engines, options, main.index, parts, r, &plan.Harm, finish)
-	if len(plan.Helpers) != parts-1 {
+	plan := Plan{Main: main.index, Harm: main.harm, Holders: way.holders, Share: way.share}
+	finish, ok := addHelpers(laws, engines, options, way, r, &plan)
+	if !ok {
 		return Plan{}, false
 	}
+	finish = max(finish, main.read)
 	plan.First = finish + tail(laws, engines[main.index].Load, r)
 	plan.Harm += Weight(r.Prompt) * (loss(plan.First, r.Goal, r.Patient) + slowCost*plan.First/max(r.Goal, minGoal))
 	plan.Harm += opening(&engines[main.index])
 	return plan, true
 }
 
-func addHelpers(laws *costmodel.Laws, engines []Engine, options []option, main, parts int, r Request, harm *float64, finish float64) ([]int, float64) {
+// addHelpers adds the best helpers to a plan, those that hold a part first, and
+// returns when the last of them has read its part.
+func addHelpers(laws *costmodel.Laws, engines []Engine, options []option, way split, r Request, plan *Plan) (float64, bool) {
 	weight := Weight(r.Prompt)
 	slices.SortStableFunc(options, func(a, b option) int {
 		return cmp.Compare(a.helpCost(weight, r), b.helpCost(weight, r))
 	})
-	var helpers []int
+	var holding, reading []int
+	finish := 0.0
 	for _, o := range options {
-		if len(helpers) == parts-1 {
+		if len(holding)+len(reading) == way.parts-1 {
 			break
 		}
-		if o.index == main || engines[o.index].Avoided || !canHelp(laws, engines[o.index].Load) {
+		e := &engines[o.index]
+		if o.index == plan.Main || e.Avoided || !canHelp(laws, e.Load) {
 			continue
 		}
-		helpers = append(helpers, o.index)
-		*harm += o.harm + o.delay + helperCost
+		switch {
+		case len(holding) < way.holders && holds(laws, e.Load, way.share):
+			holding = append(holding, o.index)
+		case len(reading) < way.parts-1-way.holders:
+			reading = append(reading, o.index)
+		default:
+			continue
+		}
+		plan.Harm += o.harm + o.delay + helperCost
 		finish = max(finish, o.help)
 	}
-	return helpers, finish
+	plan.Helpers = append(holding, reading...)
+	return finish, len(plan.Helpers) == way.parts-1
 }
 
 // helpCost orders engines by how well they can help.
@@ -201,16 +241,21 @@
 	return 0
 }
 
-// fits reports whether an engine has a place and memory for the stream.
-func fits(laws *costmodel.Laws, e *Engine, r Request) bool {
-	writers, memory := 0, 0
-	if e.Load != nil {
-		writers, memory = len(e.Load.Writers), e.Load.Memory
-	}
-	if laws.Slots > 0 && writers >= laws.Slots {
+// fits reports whether an engine has a place and memory for a stream.
+func fits(laws *costmodel.Laws, e *Engine, tokens int) bool {
+	if e.Load != nil && laws.Slots > 0 && len(e.Load.Writers) >= laws.Slots {
 		return false
 	}
-	return float64(memory+r.Prompt+r.Answer) <= memoryShare*float64(laws.MemoryTokens)
+	return holds(laws, e.Load, tokens)
+}
+
+// holds reports whether an engine has memory for tokens more.
+func holds(laws *costmodel.Laws, load *Load, tokens int) bool {
+	taken := 0
+	if load != nil {
+		taken = load.Memory
+	}
+	return float64(taken+tokens) <= memoryShare*float64(laws.MemoryTokens)
 }
 
 // Patience is how long a caller waits for an event before it leaves: by
--- a/place/ledger.go
+++ b/place/ledger.go
@@ -15,6 +15,8 @@
 	PlacedAt  time.Duration
 	Writing   bool // the first event has come
 	WritingAt time.Duration
+	Holders   int           // the first helpers that hold a part of the prompt in their memory
+	Share     int           // tokens that each of them holds; the first engine holds the rest
 	Goal      time.Duration // after PlacedAt the first event is late
 	GapGoal   time.Duration
 }
--- a/place/loads.go
+++ b/place/loads.go
@@ -210,8 +210,11 @@
 func addWriter(loads map[uint64]*Load, w *Work) {
 	load := get(loads, w.Engines[0])
 	load.Writers = append(load.Writers, Writer{Weight: Weight(w.Prompt), GapGoal: millis(w.GapGoal)})
-	load.Context += float64(w.Prompt)
-	load.Memory += w.Prompt + w.Answer
+	load.Context += float64(w.Prompt - w.Holders*w.Share)
+	load.Memory += w.Prompt + w.Answer - w.Holders*w.Share
+	for _, key := range w.Engines[1 : 1+min(w.Holders, len(w.Engines)-1)] {
+		get(loads, key).Memory += w.Share
+	}
 }
 
 func get(loads map[uint64]*Load, key uint64) *Load {
--- a/relay/dialect.go
+++ b/relay/dialect.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -23,11 +24,17 @@
 	Upstream  fleet.Upstream
 	TimeLeft  time.Duration
 	Team      string
-	Helpers   []string // IP:port of engines that read parts of the prompt
+	Helpers   []Helper // engines that read parts of the prompt
 	LastEvent string
 	Urgency   int // 0 is the most urgent
 }
 
+// Helper is an engine that reads a part of a prompt for another one.
+type Helper struct {
+	Address     string // IP:port
+	Reservation string // names the memory that it holds the part in; empty if none
+}
+
 // Answer is what the headers of an upstream's answer say.
 type Answer struct {
 	RequestID string // of the request that is answered
@@ -46,3 +53,12 @@
 	// Answer reads the headers of an answer.
 	Answer(status int, h http.Header) Answer
 }
+
+// Memory sets memory of engines aside for prompts that no engine holds alone.
+type Memory interface {
+	// Reserve sets tokens aside at the engine at address for hold, or renews a
+	// reservation. It fails if the memory is not free.
+	Reserve(ctx context.Context, address, id string, tokens int, hold time.Duration) error
+	// Release ends a reservation.
+	Release(ctx context.Context, address, id string) error
+}
--- a/relay/options.go
+++ b/relay/options.go
@@ -8,6 +8,7 @@
 
 // Options bound what a Server does.
 type Options struct {
+	Host          string
 	FailureDomain string
 	// FailClosed refuses requests that need a key once the configuration has not
 	// been confirmed for ConfirmWithin.
--- a/relay/placement.go
+++ b/relay/placement.go
@@ -25,7 +25,8 @@
 	id      uint64
 	plan    place.Plan
 	main    fleet.Upstream
-	helpers []string // addresses
+	helpers []Helper
+	memory  *reservation // nil if the engine holds the whole prompt
 	began   bool
 }
 
@@ -42,9 +43,34 @@
 		return nil, err
 	}
 	x.s.peers.Placed()
+	if err := x.holdMemory(p); err != nil {
+		p.end()
+		return nil, err
+	}
 	return p, nil
 }
 
+// holdMemory sets the memory aside that helpers hold for a prompt.
+func (x *exchange) holdMemory(p *placement) error {
+	holders := p.helpers[:p.plan.Holders]
+	if len(holders) == 0 {
+		return nil
+	}
+	addresses := make([]string, len(holders))
+	for i := range holders {
+		addresses[i] = holders[i].Address
+	}
+	memory, err := x.s.reserve(x.ctx, p.id, addresses, p.plan.Share)
+	if err != nil {
+		return code.New(code.NoCapacity, "reserve memory for %d tokens at %d engines: %w", p.plan.Share, len(holders), err)
+	}
+	p.memory = memory
+	for i := range holders {
+		holders[i].Reservation = memory.held[i].id
+	}
+	return nil
+}
+
 func (x *exchange) placeAmong(views []fleet.View, now time.Duration) (*placement, error) {
 	x.s.placing.Lock()
 	defer x.s.placing.Unlock()
@@ -66,12 +92,13 @@
 	x.helpers, x.placedAt = nil, now
 	for _, i := range plan.Helpers {
 		x.helpers = append(x.helpers, views[i].ID)
-		p.helpers = append(p.helpers, views[i].Address)
+		p.helpers = append(p.helpers, Helper{Address: views[i].Address})
 		keys = append(keys, engines[i].Key)
 	}
 	x.expected = max(x.expected, plan.First)
 	x.s.ledger.Begin(place.Work{
 		ID: p.id, Engines: keys, Prompt: request.Prompt, Answer: request.Answer, PlacedAt: now,
+		Holders: plan.Holders, Share: plan.Share,
 		Goal: costmodel.Millis(request.Goal), GapGoal: x.route.GapGoal,
 	})
 	return p, nil
@@ -141,6 +168,9 @@
 
 // end records that the stream has left its engines.
 func (p *placement) end() {
+	if p.memory != nil {
+		p.memory.release()
+	}
 	p.s.ledger.End(p.id)
 	p.s.peers.Progressed()
 }
--- a/relay/server.go
+++ b/relay/server.go
@@ -31,6 +31,8 @@
 type Server struct {
 	options   Options
 	dialect   Dialect
+	memory    Memory
+	started   int64 // tells reservations of this process from those before
 	routes    *route.Holder
 	upstreams *fleet.Set
 	ledger    *place.Ledger
@@ -54,6 +56,7 @@
 // Parts are what a Server works with.
 type Parts struct {
 	Dialect   Dialect
+	Memory    Memory
 	Routes    *route.Holder
 	Upstreams *fleet.Set
 	Ledger    *place.Ledger
@@ -66,7 +69,7 @@
 // New returns a server. It is ready once Parts.Routes holds a table.
 func New(options Options, parts Parts) *Server {
 	return &Server{
-		options: options, dialect: parts.Dialect, routes: parts.Routes, upstreams: parts.Upstreams,
+		options: options, dialect: parts.Dialect, memory: parts.Memory, started: time.Now().UnixMilli(), routes: parts.Routes, upstreams: parts.Upstreams,
 		ledger: parts.Ledger, peers: parts.Peers, log: parts.Log, metrics: parts.Metrics,
 		transport: newTransport(), rng: parts.Rng, budgets: map[string]*retry.Budget{},
 	}
