Placement: a stream delayed at several engines is delayed once

Cause: long prompts were left on one engine, late for certain, because a plan paid for one waiting stream at each engine where a part would delay it.

--- a/place/decide.go
+++ b/place/decide.go
@@ -140,6 +140,11 @@
 	}
 	finish = max(finish, main.read)
 	plan.First = finish + tail(laws, engines[main.index].Load, r)
+	together := delays{}
+	for _, i := range plan.Helpers {
+		together.add(engines[i].Load, partMillis(laws, engines[i].Load, r.Prompt, way.parts))
+	}
+	plan.Harm += together.harm()
 	plan.Harm += Weight(r.Prompt) * (loss(plan.First, r.Goal, r.Patient) + slowCost*plan.First/max(r.Goal, minGoal))
 	plan.Harm += opening(&engines[main.index])
 	return plan, true
@@ -170,7 +175,7 @@
 		default:
 			continue
 		}
-		plan.Harm += o.harm + o.delay + helperCost
+		plan.Harm += o.harm + helperCost
 		finish = max(finish, o.help)
 	}
 	plan.Helpers = append(holding, reading...)
@@ -216,7 +221,9 @@
 	// one away, and read within the next.
 	o.help = part + pass/2
 	o.read = backlog + part + pass/2
-	o.delay = load.delayHarm(part)
+	alone := delays{}
+	alone.add(load, part)
+	o.delay = alone.harm()
 	return o
 }
 
--- a/place/loads.go
+++ b/place/loads.go
@@ -192,14 +192,25 @@
 	}
 }
 
-// delayHarm returns the harm to the streams that wait at an engine if it first
-// reads a part for another engine.
-func (l *Load) delayHarm(part float64) float64 {
+// delays collects what the parts of one plan do to the streams that wait.
+type delays map[*reader]float64 // when the first event comes then
+
+// add counts a part that an engine reads first.
+func (d delays) add(load *Load, part float64) {
+	if load == nil {
+		return
+	}
+	for _, w := range load.waiting {
+		d[w.reader] = max(d[w.reader], w.reader.first, w.finish+part)
+	}
+}
+
+// harm returns the harm to all streams that wait.
+func (d delays) harm() float64 {
 	harm := 0.0
-	for _, w := range l.waiting {
-		after := max(w.reader.first, w.finish+part)
-		harm += w.reader.loss(after) - w.reader.loss(w.reader.first)
-		harm += w.reader.weight * slowCost * (after - w.reader.first) / max(w.reader.goal, minGoal)
+	for r, after := range d {
+		harm += r.loss(after) - r.loss(r.first)
+		harm += r.weight * slowCost * (after - r.first) / max(r.goal, minGoal)
 	}
 	return harm
 }
