--- a/host/agreement.go
+++ b/host/agreement.go
@@ -11,9 +11,9 @@
 	"github.com/citronscale/citronscale/membership"
 	"github.com/citronscale/citronscale/orders"
 	"github.com/citronscale/citronscale/ownership"
-	"github.com/citronscale/citronscale/source"
 	"github.com/citronscale/citronscale/reclaim"
 	"github.com/citronscale/citronscale/revision"
+	"github.com/citronscale/citronscale/source"
 	"github.com/citronscale/citronscale/upstream"
 )
 
--- a/host/configuration.go
+++ b/host/configuration.go
@@ -10,8 +10,8 @@
 	"github.com/citronscale/citronscale/event"
 	"github.com/citronscale/citronscale/ident"
 	"github.com/citronscale/citronscale/membership"
-	"github.com/citronscale/citronscale/source"
 	"github.com/citronscale/citronscale/revision"
+	"github.com/citronscale/citronscale/source"
 )
 
 const (
--- a/host/fleet_test.go
+++ b/host/fleet_test.go
@@ -25,8 +25,8 @@
 	"github.com/citronscale/citronscale/internal/stub/servicestub"
 	"github.com/citronscale/citronscale/internal/stub/stubhttp"
 	"github.com/citronscale/citronscale/internal/testport"
-	"github.com/citronscale/citronscale/source/httpsource"
 	"github.com/citronscale/citronscale/settings"
+	"github.com/citronscale/citronscale/source/httpsource"
 )
 
 const (
--- a/host/platform.go
+++ b/host/platform.go
@@ -9,9 +9,9 @@
 	"time"
 
 	"github.com/citronscale/citronscale/event"
+	"github.com/citronscale/citronscale/settings"
 	"github.com/citronscale/citronscale/source"
 	"github.com/citronscale/citronscale/source/httpsource"
-	"github.com/citronscale/citronscale/settings"
 )
 
 const (
--- a/internal/stub/platformstub/platform.go
+++ b/internal/stub/platformstub/platform.go
@@ -20,7 +20,7 @@
 	published   map[uint64]source.Document
 	current     source.Document
 	stale       *source.Document // served in place of current, unless nil
-	changed     chan struct{}      // closed at each change of what is served
+	changed     chan struct{}    // closed at each change of what is served
 	down        bool
 	lists       []datedList // ascending by time
 	lag         time.Duration
--- a/place/decide.go
+++ b/place/decide.go
@@ -41,7 +41,7 @@
 const (
 	// Harm begins at lateFrom of a goal and is certain at lateAt: predictions
 	// miss what is placed within a round trip, and streams that come later.
-	lateFrom = 0.5
+	lateFrom = 0.7
 	lateAt   = 1.1
 	// slowCost makes the earlier of two answers that are in time win.
 	slowCost = 0.05
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -45,7 +45,7 @@
 	x.sends++
 	x.runs++
 	x.tried = append(x.tried, send.Upstream.ID)
-	response, err := x.s.transport.RoundTrip(x.outgoing(a.ctx, send))
+	response, err := x.s.transport.RoundTrip(x.outgoing(a.ctx, send)) //nolint:bodyclose // attempt.close closes it
 	if err != nil {
 		failure := a.failure(err)
 		a.close()
