--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -91,6 +91,7 @@
 		{"status", "Summary of each host", "Asks every host given and shows its state. Exits 1 if one does not answer or is not ready.\n\nExample: citronctl --host 10.0.0.1:8281 --host 10.0.0.2:8281 status", &statusCommand{app: a}},
 		{"dump", "Whole state of one host", "Writes the state of all modules of one host as JSON.\n\nExample: citronctl dump host-2", &dumpCommand{app: a}},
 		{"trace", "What ran for one request", "Asks all hosts what they recorded about a request and joins the answers. Exits 4 if whether it ran is unknown.\n\nExample: citronctl trace host-1.dx3k9s0q2bvk.1f", &traceCommand{app: a}},
+		{"story", "What collected logs say of one request", "Reads log lines of all hosts from standard input and prints those of a request, and of the hosts and upstreams that it met about that time. Exits 4 if none names it.\n\nExample: citronctl story 9c41d07be2a35f68 < collected.log", &storyCommand{app: a}},
 		{"config", "Published configuration", "Checks a document or shows the values in force.\n\nExample: citronctl config check fleet.toml", newConfigCommand(a)},
 		{"hosts", "Hosts as one host sees them", "Shows the membership as the first host that answers sees it.\n\nExample: citronctl hosts", &hostsCommand{app: a}},
 		{"upstreams", "Engines and plain services as one host sees them", "Shows the upstreams as the first host that answers sees them.\n\nExample: citronctl upstreams", &upstreamsCommand{app: a}},
--- a/internal/relayd/daemon.go
+++ b/internal/relayd/daemon.go
@@ -73,7 +73,7 @@
 		settings: settings, path: path, routes: &route.Holder{}, upstreams: fleet.NewSet(), ledger: place.NewLedger(),
 		machine: chart.MustLoad(chart.Process).New(),
 	}
-	d.writer, d.log = newLogger(settings.LogLevel, out)
+	d.writer, d.log = newLogger(settings, out)
 	var err error
 	if d.metrics, err = metrics.New(); err != nil {
 		return nil, err
@@ -108,17 +108,18 @@
 
 // newLogger returns a logger that never blocks: lines that the reader of the
 // output does not take in time are dropped.
-func newLogger(level string, out io.Writer) (*log.AsyncWriter, *event.Logger) {
+func newLogger(settings *Settings, out io.Writer) (*log.AsyncWriter, *event.Logger) {
 	const pendingLines = 4096 // a few seconds of the busiest host
 	writer := &log.AsyncWriter{ChannelSize: pendingLines, DiscardOnFull: true, Writer: &log.IOWriter{Writer: out}}
-	logger := &log.Logger{Level: log.ParseLevel(level), TimeField: "time", TimeFormat: log.TimeFormatUnixMs, Writer: writer}
+	logger := &log.Logger{Level: log.ParseLevel(settings.LogLevel), TimeField: "time", TimeFormat: log.TimeFormatUnixMs, Writer: writer}
+	logger.Context = log.NewContext(nil).Str("host", settings.Host).Value()
 	return writer, event.NewLogger(logger)
 }
 
 // Run serves until ctx ends, then stops as planned.
 func (d *Daemon) Run(ctx context.Context) error {
 	defer func() { _ = d.writer.Close() }() // nothing is left to log to
-	d.log.Emit(event.ProcessStarting).Str("host", d.settings.Host).Str("failure_domain", d.settings.FailureDomain).Msg("")
+	d.log.Emit(event.ProcessStarting).Str("failure_domain", d.settings.FailureDomain).Msg("")
 	listeners, err := d.listen()
 	if err != nil {
 		return err
@@ -133,7 +134,6 @@
 	d.stop(listeners)
 	cancel()
 	wg.Wait()
-	d.log.Emit(event.ProcessStopped).Str("host", d.settings.Host).Msg("")
 	return nil
 }
 
@@ -151,7 +151,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	state, err := d.machine.Fire(e)
-	d.log.Emit(line).Str("host", d.settings.Host).Str("state", string(state)).Err(err).Msg("")
+	d.log.Emit(line).Str("state", string(state)).Err(err).Msg("")
 }
 
 // stop lets what is in flight end, within the grace.
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -213,6 +213,16 @@
 func (x *exchange) finish() {
 	c := code.Of(x.result)
 	took := boottime.Now() - x.arrived
+	if x.s.lines.allow(c == code.OK, time.Now(), x.s.log) {
+		x.writeLine(c, took)
+	}
+	x.observe(c, took)
+	if x.broken {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (x *exchange) writeLine(c code.Code, took time.Duration) {
 	line := x.s.log.Emit(event.RequestRelayed).
 		Str("request", x.call.ID).Int("code", int(c)).Str("result", c.Name()).Int("status", x.status).
 		Dur("took", took).Int("attempts", x.sends).Strs("upstreams", x.tried).Str("team", x.team)
@@ -236,10 +246,6 @@
 		line = line.Str("detail", x.result.Error())
 	}
 	line.Msg("")
-	x.observe(c, took)
-	if x.broken {
-		panic(http.ErrAbortHandler)
-	}
 }
 
 func (x *exchange) observe(c code.Code, took time.Duration) {
--- a/relay/server.go
+++ b/relay/server.go
@@ -50,6 +50,7 @@
 	inFlight atomic.Int64
 	placing  sync.Mutex // one stream at a time
 	nextID   atomic.Uint32
+	lines    *lines
 	stale    atomic.Bool
 }
 
@@ -71,7 +72,7 @@
 	return &Server{
 		options: options, dialect: parts.Dialect, memory: parts.Memory, started: time.Now().UnixMilli(), routes: parts.Routes, upstreams: parts.Upstreams,
 		ledger: parts.Ledger, peers: parts.Peers, log: parts.Log, metrics: parts.Metrics,
-		transport: newTransport(), rng: parts.Rng, budgets: map[string]*retry.Budget{},
+		transport: newTransport(), lines: newLines(), rng: parts.Rng, budgets: map[string]*retry.Budget{},
 	}
 }
 
