--- a/place/decide.go
+++ b/place/decide.go
@@ -39,10 +39,11 @@
 }
 
 const (
-	// Harm begins at lateFrom of a goal and is certain at lateAt: predictions
-	// miss what is placed within a round trip, and streams that come later.
-	lateFrom = 0.7
-	lateAt   = 1.1
+	// Harm begins at lateFrom of a goal, less what a prediction is off for
+	// streams that are placed at the same moment, and is certain at lateAt.
+	lateFrom  = 0.85
+	lateSlack = 80.0 // milliseconds
+	lateAt    = 1.1
 	// slowCost makes the earlier of two answers that are in time win.
 	slowCost = 0.05
 	// openCost is the price of the first writer of an engine: an engine without
@@ -60,6 +61,14 @@
 	// partShare is the largest part of an engine's memory that one part of a
 	// prompt takes that no engine can hold alone.
 	partShare = 0.35
+	// timeCost and busyCost price a second of an engine: the latter by the share
+	// of all engines that read already. A short prompt is worth some forty in a
+	// second of reading, a long one five, one over several engines two.
+	timeCost = 1.0
+	busyCost = 4.0
+	// pauseShare is how often a prompt that was placed before a stream is read
+	// after its first event.
+	pauseShare = 0.5
 	// mostHelpers is the largest number of helpers that an engine takes.
 	mostHelpers = 15
 	// helpFrom is the prompt, in tokens, from which helpers are weighed.
@@ -89,6 +98,32 @@
 	return best, found
 }
 
+// Worthwhile reports whether a plan is worth the time that it takes from the
+// streams of others. Only prompts that one engine can't hold are weighed: they
+// take so much that many others miss their goals.
+func Worthwhile(laws *costmodel.Laws, engines []Engine, r Request, plan Plan) bool {
+	if plan.Holders == 0 {
+		return true
+	}
+	price := timeCost + busyCost*busyShare(engines)
+	return plan.Harm+price*laws.Read(r.Prompt, 1)/second <= Weight(r.Prompt)
+}
+
+// busyShare returns the share of the engines that read, an engine with a second
+// or more to read counting whole.
+func busyShare(engines []Engine) float64 {
+	busy := 0.0
+	for i := range engines {
+		if load := engines[i].Load; load != nil {
+			busy += min((load.HelpLeft+load.ReadLeft)/second, 1)
+		}
+	}
+	return busy / float64(max(len(engines), 1))
+}
+
+// second is in milliseconds.
+const second = 1000.0
+
 // Spread returns how many helpers have to hold a part of a prompt, and how many
 // tokens each, because one engine can't hold it. Parts are kept well below the
 // memory of an engine, which holds other prompts too.
@@ -236,9 +271,16 @@
 	return laws.Pass(len(load.Writers)+1, load.Context+float64(r.Prompt))
 }
 
-// mainCost is what matters at the engine that writes, beside its part.
+// mainCost is what matters at the engine that writes, beside its part: when the
+// first event comes, and the pause in the answer while the engine reads what was
+// placed there before.
 func mainCost(laws *costmodel.Laws, e *Engine, r Request, o option) float64 {
-	return Weight(r.Prompt)*(loss(o.read+tail(laws, e.Load, r), r.Goal, r.Patient)+slowCost*o.read/max(r.Goal, minGoal)) + opening(e)
+	pause := 0.0
+	if e.Load != nil {
+		backlog := laws.PassRead(e.Load.Unread, e.Load.HelpLeft+e.Load.ReadLeft)
+		pause = pauseShare * Weight(r.Prompt) * lateShare * late(tail(laws, e.Load, r)+backlog, r.GapGoal)
+	}
+	return pause + Weight(r.Prompt)*(loss(o.read+tail(laws, e.Load, r), r.Goal, r.Patient)+slowCost*o.read/max(r.Goal, minGoal)) + opening(e)
 }
 
 func opening(e *Engine) float64 {
@@ -289,5 +331,6 @@
 	if goal <= 0 {
 		return 1
 	}
-	return min(max((x/goal-lateFrom)/(lateAt-lateFrom), 0), 1)
+	from := max(lateFrom*goal-lateSlack, goal/3)
+	return min(max((x-from)/(lateAt*goal-from), 0), 1)
 }
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -164,3 +164,24 @@
 	ledger.End(1)
 	assert.Equal(t, len(ledger.All(10*second)), 0)
 }
+
+// A prompt over several engines is served while they have little to read, and
+// refused while it would keep them from the streams of others.
+func TestLargestPromptsOnlyWhileOthersHaveRoom(t *testing.T) {
+	request := longRequest(600000)
+	idle := engines(21, nil, 0)
+	plan, ok := place.Decide(laws(), idle, request, rng())
+	assert.Assert(t, ok)
+	assert.Assert(t, place.Worthwhile(laws(), idle, request, plan))
+
+	var works []place.Work
+	for id := range uint64(21) {
+		works = append(works, place.Work{
+			ID: id + 1, Engines: []uint64{id + 1}, Prompt: 100000, Answer: answer, PlacedAt: 0, Goal: 3 * second, GapGoal: second,
+		})
+	}
+	busy := engines(21, works, 100*time.Millisecond)
+	plan, ok = place.Decide(laws(), busy, request, rng())
+	assert.Assert(t, ok)
+	assert.Assert(t, !place.Worthwhile(laws(), busy, request, plan))
+}
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -42,8 +42,10 @@
 	begun    bool     // the answer is under way to the caller
 	events   int
 	firstAt  time.Duration
-	expected float64  // milliseconds until the first event, as predicted
-	helpers  []string // of the last attempt
+	lastAt   time.Duration // of the latest event
+	pause    time.Duration // the longest between two events
+	expected float64       // milliseconds until the first event, as predicted
+	helpers  []string      // of the last attempt
 	placedAt time.Duration
 	status   int
 	result   error
@@ -236,7 +238,7 @@
 		line = line.Int("prompt", x.call.Prompt).Float64("expected_ms", x.expected).Int("events", x.events).
 			Strs("helpers", x.helpers).Dur("placed", x.placedAt-x.arrived)
 		if x.firstAt > 0 {
-			line = line.Dur("first", x.firstAt-x.arrived)
+			line = line.Dur("first", x.firstAt-x.arrived).Dur("pause", x.pause)
 		}
 	}
 	if len(x.notes) > 0 {
--- a/relay/placement.go
+++ b/relay/placement.go
@@ -87,6 +87,9 @@
 	if first := costmodel.Millis(plan.First); first > min(x.left(), place.Patience(x.route.Goal, x.route.GapGoal)) {
 		return nil, code.New(code.DeadlineTooShort, "the first event is expected in %v, %v are left", first, x.left())
 	}
+	if !place.Worthwhile(laws, engines, request, plan) {
+		return nil, code.New(code.NoCapacity, "%d tokens would delay too many other streams now", request.Prompt)
+	}
 	p := &placement{s: x.s, id: uint64(x.s.nextID.Add(1)), plan: plan, main: views[plan.Main].Upstream}
 	keys := []uint64{engines[plan.Main].Key}
 	x.helpers, x.placedAt = nil, now
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -135,9 +135,7 @@
 		if !x.begun {
 			x.beginStream(a)
 		}
-		if x.events == 0 {
-			x.firstAt = boottime.Now()
-		}
+		x.countEvent(boottime.Now())
 		p.writing()
 		if _, err := x.w.Write(piece); err != nil {
 			return code.New(code.CallerGone, "write to the caller: %w", err)
@@ -145,7 +143,6 @@
 		if err := flusher.Flush(); err != nil {
 			return code.New(code.CallerGone, "flush to the caller: %w", err)
 		}
-		x.events++
 		if id != "" {
 			x.call.LastEvent = id
 		}
@@ -153,6 +150,17 @@
 	}
 }
 
+// countEvent records when an event came.
+func (x *exchange) countEvent(now time.Duration) {
+	if x.events == 0 {
+		x.firstAt = now
+	} else {
+		x.pause = max(x.pause, now-x.lastAt)
+	}
+	x.lastAt = now
+	x.events++
+}
+
 // endStream ends the answer after its last event.
 func (x *exchange) endStream(a *attempt) error {
 	if !x.begun {
