--- /dev/null
+++ b/internal/relayd/settings_test.go
@@ -0,0 +1,99 @@
+package relayd
+
+import (
+	"net/netip"
+	"os"
+	"path/filepath"
+	"reflect"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp/cmpopts"
+	"gotest.tools/v3/assert"
+)
+
+const valid = `
+host = "host-1"
+[listen]
+callers = "127.0.0.1:1"
+readiness = "127.0.0.1:2"
+[peers]
+address = "127.0.0.1:3"
+seeds = ["127.0.0.2:9", ]
+[platform]
+store = "127.0.0.1:4"
+[stop]
+grace_s = 8
+[keys]
+fail_closed = true
+revoke_ms = 5000
+[a_newer_version]
+field = 1
+`
+
+func load(t *testing.T, text string) (*Settings, error) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "relay.toml")
+	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
+	return LoadSettings(path)
+}
+
+func TestSettings(t *testing.T) {
+	s, err := load(t, valid)
+	assert.NilError(t, err)
+	assert.Equal(t, s.grace(), 8*time.Second)
+	assert.Equal(t, s.revoke(), 5*time.Second)
+	assert.DeepEqual(t, s.seeds(), []netip.Addr{netip.MustParseAddr("127.0.0.2")}, cmpopts.EquateComparable(netip.Addr{}))
+	assert.Equal(t, s.retryWindow(), 10*time.Second)
+}
+
+func TestInvalidSettingsNameTheField(t *testing.T) {
+	for field, text := range map[string]string{
+		"host":            strings.Replace(valid, `host = "host-1"`, "", 1),
+		"listen.callers":  strings.Replace(valid, `callers = "127.0.0.1:1"`, "", 1),
+		"stop.grace_s":    strings.Replace(valid, "grace_s = 8", "grace_s = 0.1", 1),
+		"keys.revoke_ms":  strings.Replace(valid, "revoke_ms = 5000", "revoke_ms = 0", 1),
+		"platform.store":  strings.Replace(valid, `store = "127.0.0.1:4"`, "", 1),
+		"line 1, column ": "host = [",
+	} {
+		_, err := load(t, text)
+		assert.ErrorContains(t, err, strings.TrimPrefix(field, "line 1, column "))
+	}
+}
+
+var templateField = regexp.MustCompile(`(?m)([a-z_]+) = `)
+
+// The template must set only fields that the settings know: unknown ones are
+// ignored when they are read.
+func TestTemplateSetsKnownFields(t *testing.T) {
+	data, err := os.ReadFile("../../deploy/relay.toml.tmpl")
+	assert.NilError(t, err)
+	known := map[string]bool{}
+	collect(reflect.TypeFor[Settings](), known)
+	for _, match := range templateField.FindAllStringSubmatch(string(data), -1) {
+		assert.Check(t, known[match[1]], "the template sets %q", match[1])
+	}
+}
+
+func collect(t reflect.Type, known map[string]bool) {
+	for i := range t.NumField() {
+		field := t.Field(i)
+		known[field.Tag.Get("toml")] = true
+		if field.Type.Kind() == reflect.Struct && field.Type != reflect.TypeFor[netip.AddrPort]() {
+			collect(field.Type, known)
+		}
+	}
+}
+
+// Every field stands in the table of the docs.
+func TestDocsListEveryField(t *testing.T) {
+	data, err := os.ReadFile("../../docs/RELAY-SETTINGS.md")
+	assert.NilError(t, err)
+	known := map[string]bool{}
+	collect(reflect.TypeFor[Settings](), known)
+	for name := range known {
+		assert.Check(t, strings.Contains(string(data), name), "docs/RELAY-SETTINGS.md lacks %q", name)
+	}
+}
--- a/relay/placement.go
+++ b/relay/placement.go
@@ -80,7 +80,8 @@
 	}
 	request := x.placeRequest(laws)
 	engines := x.engines(laws, views, now)
-	plan, ok := place.Decide(laws, engines, request, rand.New(rand.NewPCG(uint64(now), uint64(x.arrived))))
+	seed := draw(x.s, func(rng *rand.Rand) uint64 { return rng.Uint64() })
+	plan, ok := place.Decide(laws, engines, request, rand.New(rand.NewPCG(seed, 0)))
 	if !ok {
 		return nil, code.New(code.NoCapacity, "none of %d engines has room for %d tokens", len(engines), request.Prompt)
 	}
