--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -148,6 +148,9 @@
 		failure.Attempt = x.sends
 		most += refusalsMore
 	}
+	if c == code.UpstreamUnavailable && x.sends < most && x.left() > minAttempt {
+		return x.reroute() // nothing arrived anywhere, so the budget is not touched
+	}
 	decision := x.s.decide(x.service.Name, most, failure)
 	if decision.Retry {
 		x.s.metrics.RelayRetried(x.route.Kind.String(), c)
