--- a/internal/relayd/daemon.go
+++ b/internal/relayd/daemon.go
@@ -37,7 +37,7 @@
 	confirmShare = 0.9
 	// watchShare of the same time is how long a watch waits: an answer must come
 	// before the confirmation of the one before it runs out.
-	watchShare = 0.6
+	watchShare = 0.5
 	// admitShare of the grace is how long a leaving host takes new requests: the
 	// balancer needs about two seconds to see that it is not ready.
 	admitShare = 0.35
