--- /dev/null
+++ b/peering/peering_test.go
@@ -0,0 +1,102 @@
+package peering
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/assert/cmp"
+	"gotest.tools/v3/poll"
+
+	loadv1 "github.com/citronscale/citronscale/api/load/v1"
+	"github.com/citronscale/citronscale/event"
+	"github.com/citronscale/citronscale/fleet"
+	"github.com/citronscale/citronscale/place"
+)
+
+func TestStreamTravelsWhole(t *testing.T) {
+	const now = 10 * time.Second
+	sent := place.Work{
+		ID: 7, Engines: []uint64{1, 2, 3}, Prompt: 500000, Answer: 1200, Holders: 1, Share: 200000, PlacedAt: 9 * time.Second,
+		Writing: true, WritingAt: now, Goal: 3 * time.Second, GapGoal: time.Second,
+	}
+	assert.DeepEqual(t, unpackStream(packStream(sent, now), now), sent)
+	sent.Writing, sent.WritingAt = false, 0
+	got := unpackStream(packStream(sent, now), 20*time.Second)
+	assert.Equal(t, got.PlacedAt, 19*time.Second, "ages travel, not times of a clock")
+	assert.Equal(t, got.Writing, false)
+}
+
+func address(n byte) netip.Addr {
+	return netip.AddrFrom4([4]byte{127, 0, 0, n})
+}
+
+func TestMembersForgetSilentHosts(t *testing.T) {
+	m := newMembers(address(1), []netip.Addr{address(2)})
+	m.hear(address(3), 0)
+	m.hear(address(1), 0)
+	assert.Check(t, cmp.Len(m.live(time.Second), 1), "a host is not its own peer")
+	assert.Check(t, cmp.Len(m.live(memberMemory+time.Second), 0))
+	assert.Check(t, cmp.Len(m.withSeeds(nil), 1), "seeds are told for ever")
+}
+
+func TestNamedHostsAreNotPassedOnUnheard(t *testing.T) {
+	m := newMembers(address(1), nil)
+	m.learn(address(4), 0)
+	assert.Check(t, cmp.Len(m.live(0), 1))
+	assert.Check(t, cmp.Len(m.named(0, rand.New(rand.NewPCG(1, 1))), 0))
+	assert.Check(t, cmp.Len(m.live(3*time.Second), 0), "a named host that stays silent is forgotten soon")
+}
+
+func TestNewestDatagramWins(t *testing.T) {
+	n := &Node{options: Options{Host: "host-1"}, parts: Parts{Ledger: place.NewLedger(), Upstreams: fleet.NewSet(), Log: &event.Logger{}}, members: newMembers(address(1), nil), newest: map[string]position{}}
+	from := address(2)
+	hear := func(incarnation, sequence uint64, now time.Duration) bool {
+		return n.accept(&loadv1.Announcement{Host: "host-2", Incarnation: incarnation, Sequence: sequence}, from, now)
+	}
+	assert.Assert(t, hear(5, 2, 0))
+	assert.Assert(t, !hear(5, 1, 0), "overtaken")
+	assert.Assert(t, !hear(4, 9, 0), "of the process before")
+	assert.Assert(t, hear(6, 1, 0), "restarted")
+	assert.Assert(t, hear(3, 1, 5*time.Second), "restarted after the time of day jumped back")
+}
+
+func TestHostsFindEachOtherAndTellStreams(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	nodes := make([]*Node, 0, 3)
+	ledgers := make([]*place.Ledger, 0, 3)
+	done := make(chan struct{}, 3)
+	port := uint16(0)
+	for i := range byte(3) {
+		ledger := place.NewLedger()
+		node, err := Listen(Options{
+			Host: string(rune('a' + i)), Local: netip.AddrPortFrom(address(10+i), port), Seeds: []netip.Addr{address(10)},
+		}, Parts{Ledger: ledger, Upstreams: fleet.NewSet(), Key: func(string) uint64 { return 1 }, Log: &event.Logger{}, Rng: rand.New(rand.NewPCG(1, uint64(i)))})
+		assert.NilError(t, err)
+		port = node.conn.LocalAddr().(interface{ AddrPort() netip.AddrPort }).AddrPort().Port()
+		node.options.Local = netip.AddrPortFrom(address(10+i), port)
+		nodes, ledgers = append(nodes, node), append(ledgers, ledger)
+	}
+	for _, node := range nodes {
+		go func() { node.Run(ctx); done <- struct{}{} }()
+	}
+	t.Cleanup(func() {
+		cancel()
+		for range nodes {
+			<-done
+		}
+	})
+	ledgers[2].Begin(place.Work{ID: 1, Engines: []uint64{9}, Prompt: 100})
+	nodes[2].Placed()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		heard := ledgers[0].All(0)
+		others := ledgers[1].All(0)
+		if len(heard) == 1 && len(others) == 1 && nodes[1].Hosts() == 3 {
+			return poll.Success()
+		}
+		return poll.Continue("hosts know %d and %d streams, %d hosts", len(heard), len(others), nodes[1].Hosts())
+	}, poll.WithTimeout(20*time.Second))
+}
--- a/place/decide.go
+++ b/place/decide.go
@@ -5,7 +5,6 @@
 	"math"
 	"math/rand/v2"
 	"slices"
-	"time"
 
 	"github.com/citronscale/citronscale/costmodel"
 )
@@ -38,43 +37,6 @@
 	Harm    float64
 }
 
-const (
-	// Harm begins at lateFrom of a goal, less what a prediction is off for
-	// streams that are placed at the same moment, and is certain at lateAt.
-	lateFrom  = 0.85
-	lateSlack = 80.0 // milliseconds
-	lateAt    = 1.1
-	// slowCost makes the earlier of two answers that are in time win.
-	slowCost = 0.05
-	// openCost is the price of the first writer of an engine: an engine without
-	// writers can read long prompts without a pause in anybody's answer.
-	openCost = 0.12
-	// helperCost is the price of each engine more, which may fail or stall.
-	helperCost = 0.004
-	// failingCost is the price of a share of failures of one.
-	failingCost = 0.8
-	// remoteCost is the price of another failure domain.
-	remoteCost = 0.01
-	// memoryShare is the part of an engine's memory that is planned with; the
-	// length of answers is an estimate.
-	memoryShare = 0.92
-	// partShare is the largest part of an engine's memory that one part of a
-	// prompt takes that no engine can hold alone.
-	partShare = 0.35
-	// timeCost and busyCost price a second of an engine: the latter by the share
-	// of all engines that read already. A short prompt is worth some forty in a
-	// second of reading, a long one five, one over several engines two.
-	timeCost = 1.0
-	busyCost = 4.0
-	// pauseShare is how often a prompt that was placed before a stream is read
-	// after its first event.
-	pauseShare = 0.5
-	// mostHelpers is the largest number of helpers that an engine takes.
-	mostHelpers = 15
-	// helpFrom is the prompt, in tokens, from which helpers are weighed.
-	helpFrom = 6000
-)
-
 var splits = []int{1, 2, 3, 4, 6, 8, 12, mostHelpers + 1}
 
 // Decide returns the plan with the least expected harm. It returns false if no
@@ -98,32 +60,6 @@
 	return best, found
 }
 
-// Worthwhile reports whether a plan is worth the time that it takes from the
-// streams of others. Only prompts that one engine can't hold are weighed: they
-// take so much that many others miss their goals.
-func Worthwhile(laws *costmodel.Laws, engines []Engine, r Request, plan Plan) bool {
-	if plan.Holders == 0 {
-		return true
-	}
-	price := timeCost + busyCost*busyShare(engines)
-	return plan.Harm+price*laws.Read(r.Prompt, 1)/second <= Weight(r.Prompt)
-}
-
-// busyShare returns the share of the engines that read, an engine with a second
-// or more to read counting whole.
-func busyShare(engines []Engine) float64 {
-	busy := 0.0
-	for i := range engines {
-		if load := engines[i].Load; load != nil {
-			busy += min((load.HelpLeft+load.ReadLeft)/second, 1)
-		}
-	}
-	return busy / float64(max(len(engines), 1))
-}
-
-// second is in milliseconds.
-const second = 1000.0
-
 // Spread returns how many helpers have to hold a part of a prompt, and how many
 // tokens each, because one engine can't hold it. Parts are kept well below the
 // memory of an engine, which holds other prompts too.
@@ -306,31 +242,3 @@
 	}
 	return float64(taken+tokens) <= memoryShare*float64(laws.MemoryTokens)
 }
-
-// Patience is how long a caller waits for an event before it leaves: by
-// agreement with callers the longest of these three.
-func Patience(goal, gap time.Duration) time.Duration {
-	return max(leastPatience, 4*goal, 8*gap)
-}
-
-const leastPatience = 2 * time.Second
-
-// lateShare is the part of an answer's worth that is lost if it is late; the
-// rest is lost if the caller leaves. Callers value a late answer at about a
-// quarter.
-const lateShare = 0.75
-
-// loss returns the expected loss, as a share of its worth, of an answer whose
-// first event takes x.
-func loss(x, goal, patience float64) float64 {
-	return lateShare*late(x, goal) + (1-lateShare)*late(x, patience)
-}
-
-// late returns the expected loss of an answer that takes x of a goal.
-func late(x, goal float64) float64 {
-	if goal <= 0 {
-		return 1
-	}
-	from := max(lateFrom*goal-lateSlack, goal/3)
-	return min(max((x-from)/(lateAt*goal-from), 0), 1)
-}
