--- a/gateway/problem.go
+++ b/gateway/problem.go
@@ -12,12 +12,7 @@
 // problem is the body of every refusal and failure: a problem document of RFC
 // 9457 that also carries the error object OpenAI clients parse.
 type problem struct {
-	Type      string      `json:"type"`
-	Title     string      `json:"title"`
-	Status    int         `json:"status"`
-	Detail    string      `json:"detail"`
-	Code      code.Code   `json:"code"`
-	Outcome   string      `json:"outcome"`
+	code.Problem
 	RequestID string      `json:"request_id"`
 	Error     errorObject `json:"error"`
 }
@@ -34,12 +29,7 @@
 func newProblem(x *exchange, err error) *problem {
 	c := code.Of(err)
 	return &problem{
-		Type:      fmt.Sprintf("urn:citronscale:code:%d", c),
-		Title:     c.Name(),
-		Status:    c.Status(),
-		Detail:    err.Error(),
-		Code:      c,
-		Outcome:   c.Outcome().String(),
+		Problem:   code.ProblemOf(err),
 		RequestID: x.id.String(),
 		Error: errorObject{
 			Message: fmt.Sprintf("%s (%s)", err.Error(), c.Outcome()),
--- /dev/null
+++ b/internal/cmdline/cmdline.go
@@ -0,0 +1,62 @@
+// Package cmdline is what the daemons' command lines share: parsing, the report
+// of an error and the exit codes.
+package cmdline
+
+import (
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/citronscale/citronscale/code"
+)
+
+// Exit codes of the daemons.
+const (
+	ExitOK       = 0
+	ExitFailed   = 1
+	ExitUsage    = 2
+	ExitSettings = 3
+)
+
+// Options are the options of every daemon.
+type Options struct {
+	Settings string `short:"s" long:"settings" required:"true" value-name:"FILE" description:"TOML file with the local settings of this host"`
+	Check    bool   `long:"check" description:"check the settings and exit"`
+}
+
+// Program is a daemon on its command line.
+type Program struct {
+	Name           string
+	Description    string
+	Stdout, Stderr io.Writer
+}
+
+// Parse reads the arguments. If ok is false the process ends with exit.
+func (p Program) Parse(args []string) (options Options, exit int, ok bool) {
+	parser := flags.NewParser(&options, flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = p.Description
+	_, err := parser.ParseArgs(args)
+	if err == nil {
+		return options, ExitOK, true
+	}
+	var flagsError *flags.Error
+	if errors.As(err, &flagsError) && flagsError.Type == flags.ErrHelp {
+		_, _ = fmt.Fprintln(p.Stdout, err)
+		return options, ExitOK, false
+	}
+	return options, p.Report(code.Wrap(err, code.UsageInvalid), ExitUsage), false
+}
+
+// Report writes an error and returns the exit code of the process.
+func (p Program) Report(err error, exit int) int {
+	_, _ = fmt.Fprintf(p.Stderr, "%s: error %d: %v\n", p.Name, code.Of(err), err)
+	return exit
+}
+
+// Checked says that the settings are valid.
+func (p Program) Checked() int {
+	_, _ = fmt.Fprintln(p.Stdout, "settings are valid")
+	return ExitOK
+}
--- a/internal/daemon/signal_test.go
+++ b/internal/daemon/signal_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/citronscale/citronscale/internal/cmdline"
 	"github.com/citronscale/citronscale/internal/stub/platformstub"
 	"github.com/citronscale/citronscale/internal/stub/stubhttp"
 )
@@ -73,7 +74,7 @@
 		<-kept
 	}
 	assert.Equal(t, statusOf("http://"+operators+"/livez"), http.StatusOK)
-	assert.Equal(t, <-exit, exitOK)
+	assert.Equal(t, <-exit, cmdline.ExitOK)
 }
 
 func awaitReadiness(t *testing.T, address string, status int) {
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -147,16 +147,6 @@
 	return x.ctx.Err() != nil
 }
 
-// problem is the body of a refusal or failure, after RFC 9457.
-type problem struct {
-	Type    string    `json:"type"`
-	Title   string    `json:"title"`
-	Status  int       `json:"status"`
-	Detail  string    `json:"detail"`
-	Code    code.Code `json:"code"`
-	Outcome string    `json:"outcome"`
-}
-
 // refuse answers with the status of an error, or cuts the connection if the
 // answer is under way.
 func (x *exchange) refuse(err error) {
@@ -172,10 +162,7 @@
 	if after, ok := retryAfter(c); ok {
 		header.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', -1, 64))
 	}
-	body, encodeErr := json.Marshal(problem{
-		Type: fmt.Sprintf("urn:citronscale:code:%d", c), Title: c.Name(), Status: x.status,
-		Detail: err.Error(), Code: c, Outcome: c.Outcome().String(),
-	})
+	body, encodeErr := json.Marshal(code.ProblemOf(err))
 	if encodeErr != nil {
 		x.note("encode the problem: %v", encodeErr)
 	}
