--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -150,6 +150,9 @@
 // refuse answers with the status of an error, or cuts the connection if the
 // answer is under way.
 func (x *exchange) refuse(err error) {
+	if x.runs > 0 && code.Of(err).Outcome() == code.NotRun {
+		err = code.Wrap(err, code.UpstreamLost) // an earlier attempt may have run
+	}
 	x.result = err
 	if x.begun {
 		x.broken = true
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -27,7 +27,7 @@
 			return
 		}
 		if errors.Is(err, errNotPlaced) {
-			x.refuse(x.unplaced(err))
+			x.refuse(err)
 			return
 		}
 		final := x.again(err)
@@ -52,7 +52,7 @@
 func (x *exchange) tryStream() (*whole, error) {
 	x.chooseService()
 	if x.left() < minAttempt {
-		return nil, x.tooLate()
+		return nil, code.New(code.DeadlineBeforeStart, "%v are left", x.left())
 	}
 	p, err := x.place()
 	if err != nil {
@@ -65,21 +65,6 @@
 	return answer, err
 }
 
-// unplaced keeps a code that says whether an earlier attempt may have run.
-func (x *exchange) unplaced(err error) error {
-	if x.runs > 0 {
-		return code.Wrap(err, code.UpstreamLost)
-	}
-	return err
-}
-
-func (x *exchange) tooLate() error {
-	if x.runs > 0 {
-		return code.New(code.DeadlineExceeded, "no time is left for another attempt")
-	}
-	return code.New(code.DeadlineBeforeStart, "no time is left")
-}
-
 // follow sends the request and passes the events on.
 func (x *exchange) follow(p *placement) (*whole, error) {
 	send := Send{
