A crash is probed until the engine tells, and strikes its content once

Cause: TestCrashingPromptIsRefused lost a fourth engine. Two faults, both seen in the logs of failing runs. (1) After a broken stream the host asked the engine for a report once; if that connection broke as well (kept from before the crash, or accepted by the dying process), it took this for a cut, and the third crash struck nobody. (2) A crash is noticed by the attempt and again by the next report of the restarted engine. The second notice struck what had begun on the new incarnation meanwhile, under the same crash, so that content which had crashed an engine alone no longer counted as alone.

Ruled out: lost gossip (host-2 had the strikes of host-1 before it judged); stale incarnations in the directory (each engine had one life before).

Change: the probe is repeated within its time until the engine reports or refuses; a crash of one incarnation strikes once; answers below 16 tokens are not learned from, and means are divided instead of a mean of ratios.

--- a/host/attempts.go
+++ b/host/attempts.go
@@ -18,6 +18,7 @@
 const (
 	cancelTimeout  = 2 * time.Second
 	crashProbe     = 500 * time.Millisecond // time for a report that tells a crash from a cut
+	crashProbePoll = 20 * time.Millisecond  // between two tries to get that report
 	alonePoll      = time.Second            // mean time between two tries to get an engine alone
 	trialPoll      = 20 * time.Millisecond  // between two tries to run isolated content alone
 	slowestPrefill = 2_000                  // tokens per second; an engine below it counts as silent
@@ -93,18 +94,47 @@
 	ctx, cancel := context.WithTimeout(r.work, crashProbe)
 	defer cancel()
 	asked := time.Now()
-	report, err := engine.Report(ctx)
-	if err == nil {
+	report, refused := reportOrRefusal(ctx, name, engine)
+	if report != nil {
 		h.takeReport(asked, report)
-		if before == 0 || report.Incarnation == before {
-			return
-		}
-	} else if failure := asUpstreamError(name, err); failure.Sent != upstream.SentNothing || ctx.Err() != nil {
+	}
+	if !crashed(before, report, refused) {
 		return
 	}
 	h.noteCrash(name, before)
 }
 
+// reporter is an engine that tells its state.
+type reporter interface {
+	Report(ctx context.Context) (*upstream.Report, error)
+}
+
+// reportOrRefusal asks an engine until it reports or refuses the connection.
+// Any other failure says nothing: a connection kept open from before the crash,
+// or accepted by the dying process, breaks as one over a bad network does.
+func reportOrRefusal(ctx context.Context, name upstream.Name, engine reporter) (report *upstream.Report, refused bool) {
+	for ctx.Err() == nil {
+		report, err := engine.Report(ctx)
+		if err == nil {
+			return report, false
+		}
+		if asUpstreamError(name, err).Sent == upstream.SentNothing && ctx.Err() == nil {
+			return nil, true
+		}
+		pause(ctx, crashProbePoll)
+	}
+	return nil, false
+}
+
+// crashed tells from the end of a probe whether the incarnation of an engine
+// that was known before has ended.
+func crashed(before uint64, report *upstream.Report, refused bool) bool {
+	if report == nil {
+		return refused
+	}
+	return before != 0 && report.Incarnation != before
+}
+
 // awaitVerdict waits until the content may run: at once if nothing speaks
 // against it, one copy at a time if it is suspect. It fails if the content is
 // refused. The returned function ends a trial.
--- a/host/estimate.go
+++ b/host/estimate.go
@@ -14,11 +14,17 @@
 // the time per prompt token.
 const shortestLearned = 1024
 
+// shortestAnswer is the length in tokens from which an answer is learned from.
+// The few gaps of a shorter one tell more about one pause of a process than
+// about the time per token.
+const shortestAnswer = 16
+
 // runEstimate learns how long requests run once they are with an engine.
 type runEstimate struct {
 	tokens float64 // mean length of the prompts learned from
 	first  float64 // mean seconds from the send to the first token
-	decode float64 // seconds per answer token after the first
+	answer float64 // mean tokens after the first of the answers learned from
+	write  float64 // mean seconds from their first token to their end
 }
 
 // firstToken takes in the time from the send to the first token.
@@ -29,8 +35,9 @@
 
 // finished takes in the time from the first token to the end.
 func (e *runEstimate) finished(answerTokens uint64, took time.Duration) {
-	if answerTokens > 1 {
-		e.decode = average(e.decode, took.Seconds()/float64(answerTokens-1))
+	if answerTokens >= shortestAnswer {
+		e.answer = average(e.answer, float64(answerTokens-1))
+		e.write = average(e.write, took.Seconds())
 	}
 }
 
@@ -45,7 +52,7 @@
 // prompt and half of its longest answer. It is zero until something was learned.
 func (e *runEstimate) run(request *balancer.Request) time.Duration {
 	const answerShare = 0.5
-	seconds := e.prefill()*float64(request.PromptTokens) + e.decode*answerShare*float64(request.MaxTokens)
+	seconds := e.prefill()*float64(request.PromptTokens) + e.decode()*answerShare*float64(request.MaxTokens)
 	return time.Duration(seconds * float64(time.Second))
 }
 
@@ -59,6 +66,14 @@
 	return e.first / e.tokens
 }
 
+// decode returns the seconds per answer token after the first.
+func (e *runEstimate) decode() float64 {
+	if e.answer == 0 {
+		return 0
+	}
+	return e.write / e.answer
+}
+
 func (p *placement) learnFirstToken(promptTokens uint32, took time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/host/strikes.go
+++ b/host/strikes.go
@@ -14,6 +14,7 @@
 	mu       sync.Mutex
 	registry *strike.Registry
 	running  map[upstream.Name]map[strike.Digest]int // own content by engine
+	struck   map[upstream.Name]uint64                // incarnation whose crash was noted last
 }
 
 const (
@@ -25,6 +26,7 @@
 	return &strikes{
 		registry: strike.New(strike.Options{MaxRecords: maxStrikes, Decay: strikeDecay}),
 		running:  make(map[upstream.Name]map[strike.Digest]int),
+		struck:   make(map[upstream.Name]uint64),
 	}
 }
 
@@ -55,10 +57,16 @@
 	}
 }
 
-// crashed strikes all own content that ran on an engine which crashed.
+// crashed strikes all own content that ran on an engine which crashed. A crash
+// may be noticed several times; content that began after the first notice ran on
+// the next incarnation.
 func (s *strikes) crashed(now time.Time, name upstream.Name, incarnation uint64) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if incarnation != 0 && s.struck[name] == incarnation {
+		return 0
+	}
+	s.struck[name] = incarnation
 	contents := make([]strike.Digest, 0, len(s.running[name]))
 	for content := range s.running[name] {
 		contents = append(contents, content)
