A prompt over several engines is weighed with just as many as hold it

Only 1, 2, 3, 4, 6, 8, 12 and 16 parts were weighed, and six engines were not there. A fleet of two or three engines refused for the same kind of reason what it could hold with parts above the usual size.

Ruled out: ghosts in the ledger (the memory added up from the lines of all hosts shows room at each of the five engines); memory that stays set aside.

--- a/place/decide.go
+++ b/place/decide.go
@@ -44,12 +44,9 @@
 func Decide(laws *costmodel.Laws, engines []Engine, r Request, rng *rand.Rand) (Plan, bool) {
 	best, found := Plan{}, false
 	order := rng.Perm(len(engines))
-	holders, share := Spread(laws, r)
-	for _, parts := range splits {
-		if parts <= holders {
-			continue
-		}
-		if parts > 1 && (r.Prompt < helpFrom || parts > len(engines)) {
+	holders, share := spread(laws, r, len(engines))
+	for _, parts := range splitsFrom(holders + 1) {
+		if parts > holders+1 && r.Prompt < helpFrom || parts > len(engines) {
 			break
 		}
 		plan, ok := planFor(laws, engines, r, split{parts, holders, share}, order)
@@ -60,16 +57,22 @@
 	return best, found
 }
 
-// Spread returns how many helpers have to hold a part of a prompt, and how many
+// splitsFrom returns the numbers of parts to weigh, least and all usual ones above.
+func splitsFrom(least int) []int {
+	above, _ := slices.BinarySearch(splits, least+1)
+	return append([]int{least}, splits[above:]...)
+}
+
+// spread returns how many helpers have to hold a part of a prompt, and how many
 // tokens each, because one engine can't hold it. Parts are kept well below the
-// memory of an engine, which holds other prompts too.
-func Spread(laws *costmodel.Laws, r Request) (holders, share int) {
+// memory of an engine, which holds other prompts too, if there are enough engines.
+func spread(laws *costmodel.Laws, r Request, available int) (holders, share int) {
 	need := r.Prompt + r.Answer
 	if float64(need) <= memoryShare*float64(laws.MemoryTokens) {
 		return 0, 0
 	}
 	most := partShare * float64(laws.MemoryTokens)
-	engines := int(math.Ceil(float64(need) / most))
+	engines := max(min(int(math.Ceil(float64(need)/most)), available, mostHelpers+1), 1)
 	return engines - 1, need / engines
 }
 
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -130,6 +130,19 @@
 	assert.Assert(t, plan.Share < limit && rest < limit, "share %d, rest %d", plan.Share, rest)
 }
 
+// A fleet may have just as many engines as a prompt needs, or fewer than its
+// usual parts.
+func TestPromptOverOneEngineFitsASmallFleet(t *testing.T) {
+	for _, c := range []struct{ prompt, engines int }{{650000, 5}, {900000, 7}, {650000, 2}, {600000, 3}} {
+		plan, ok := place.Decide(laws(), engines(c.engines, nil, 0), longRequest(c.prompt), rng())
+		assert.Assert(t, ok, "%d tokens on %d idle engines", c.prompt, c.engines)
+		rest := c.prompt + answer - plan.Holders*plan.Share
+		assert.Assert(t, plan.Share < laws().MemoryTokens && rest < laws().MemoryTokens, "share %d, rest %d", plan.Share, rest)
+	}
+	_, ok := place.Decide(laws(), engines(2, nil, 0), longRequest(900000), rng())
+	assert.Assert(t, !ok, "two engines can't hold 900,000 tokens")
+}
+
 func TestHeldPartsCountAsMemory(t *testing.T) {
 	works := []place.Work{{ID: 1, Engines: []uint64{1, 2, 3}, Prompt: 600000, Answer: 0, Holders: 1, Share: 300000}}
 	loads := place.Loads(laws(), works, second)
