Hosts that start together greet each other at once

The first heartbeat goes to seeds that may not listen yet, the next one second later, and the other hosts are heard of one by one. Until then each host packed its callers onto the engines that looked idle, the same ones for all: 74 streams got no first event within 1.4 s and were cut.

Ruled out: streams of the time before that the engines still run (the lines show the crowded engines, others answered at once).

Change: a host that has heard nobody calls its seeds every 100 ms for its first five seconds. A sender that is new or restarted, and a host that a datagram names for the first time, gets a heartbeat at once.

--- a/internal/relayd/daemon.go
+++ b/internal/relayd/daemon.go
@@ -6,11 +6,9 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
-	"os/signal"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/phuslu/log"
@@ -116,8 +114,9 @@
 	return writer, event.NewLogger(logger)
 }
 
-// Run serves until ctx ends, then stops as planned.
-func (d *Daemon) Run(ctx context.Context) error {
+// Run serves until ctx ends, then stops as planned. Each value of hangup makes it
+// read its settings again.
+func (d *Daemon) Run(ctx context.Context, hangup <-chan os.Signal) error {
 	defer func() { _ = d.writer.Close() }() // nothing is left to log to
 	d.log.Emit(event.ProcessStarting).Str("failure_domain", d.settings.FailureDomain).Msg("")
 	listeners, err := d.listen()
@@ -128,7 +127,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { d.feed.Run(background) })
 	wg.Go(func() { d.node.Run(background) })
-	wg.Go(func() { d.reloadOnHangup(background) })
+	wg.Go(func() { d.reloadOnHangup(background, hangup) })
 	d.awaitReady(ctx)
 	<-ctx.Done()
 	d.stop(listeners)
@@ -174,12 +173,9 @@
 	d.fire(chart.ProcessIdle, event.ProcessStopped)
 }
 
-// reloadOnHangup reads the settings again on SIGHUP. Only the log level and
-// the seeds can change while the process runs.
-func (d *Daemon) reloadOnHangup(ctx context.Context) {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
+// reloadOnHangup reads the settings again on SIGHUP. Only the seeds can change
+// while the process runs.
+func (d *Daemon) reloadOnHangup(ctx context.Context, hangup <-chan os.Signal) {
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/relayd/main.go
+++ b/internal/relayd/main.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"os"
 	"os/signal"
 	"syscall"
 
@@ -10,8 +11,14 @@
 )
 
 // Main runs the daemon with the given arguments and returns its exit code. A
-// first SIGTERM or SIGINT begins a planned stop; later ones change nothing.
+// first SIGTERM or SIGINT begins a planned stop; later ones change nothing. SIGHUP
+// makes it read its settings again.
 func Main(args []string, stdout, stderr io.Writer) int {
+	// Signals may come while the process starts.
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
 	program := cmdline.Program{
 		Name: "citronrelay", Stdout: stdout, Stderr: stderr,
 		Description: "Relays requests by published routes. Example: citronrelay --settings relay.toml",
@@ -27,13 +34,11 @@
 	if opts.Check {
 		return program.Checked()
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-	defer stop()
 	d, err := New(settings, opts.Settings, stdout)
 	if err != nil {
 		return program.Report(err, cmdline.ExitFailed)
 	}
-	if err := d.Run(ctx); err != nil {
+	if err := d.Run(ctx, hangup); err != nil {
 		return program.Report(err, cmdline.ExitFailed)
 	}
 	return cmdline.ExitOK
--- a/peering/members.go
+++ b/peering/members.go
@@ -35,13 +35,15 @@
 	}
 }
 
-// learn records a host that another one has named. It counts as heard for a
-// short time only, so that names of dead hosts do not go round for ever.
-func (m *members) learn(host netip.Addr, now time.Duration) {
+// learn records a host that another one has named and reports whether it is new.
+// It counts as heard for a short time only, so that names of dead hosts do not go
+// round for ever.
+func (m *members) learn(host netip.Addr, now time.Duration) bool {
 	if _, known := m.heard[host]; known || host == m.self {
-		return
+		return false
 	}
 	m.heard[host] = now - memberMemory + 2*heartbeatEvery
+	return true
 }
 
 // live returns the hosts that streams are told to.
--- a/peering/node.go
+++ b/peering/node.go
@@ -16,6 +16,7 @@
 	"github.com/citronscale/citronscale/event"
 	"github.com/citronscale/citronscale/fleet"
 	"github.com/citronscale/citronscale/internal/boottime"
+	"github.com/citronscale/citronscale/internal/ctxtime"
 	"github.com/citronscale/citronscale/place"
 )
 
@@ -25,6 +26,11 @@
 	// progressDelay collects streams that began to write or ended: peers predict
 	// both, so that news of them is less urgent than of a new stream.
 	progressDelay = 100 * time.Millisecond
+	// searchEvery is the pause between two calls to the seeds of a host that has
+	// heard nobody for the first searchFor: hosts that place streams without
+	// knowledge of each other crowd the same engines.
+	searchEvery = 100 * time.Millisecond
+	searchFor   = 5 * time.Second
 	// datagramBytes is the largest datagram that is read.
 	datagramBytes = 60 << 10
 )
@@ -94,15 +100,17 @@
 	var wg sync.WaitGroup
 	wg.Go(n.receive)
 	n.send(true)
-	beat := time.NewTicker(heartbeatEvery)
+	started := boottime.Now()
+	beat := time.NewTimer(searchEvery)
 	defer beat.Stop()
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
 		case <-beat.C:
 			n.send(true)
+			beat.Reset(n.nextBeat(boottime.Now() - started))
 		case <-n.dirty:
-			if wait(ctx, progressDelay) {
+			if ctxtime.Sleep(ctx, progressDelay) {
 				n.send(false)
 			}
 		}
@@ -113,15 +121,12 @@
 	wg.Wait()
 }
 
-func wait(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
+// nextBeat returns the time until the next heartbeat of a node of the given age.
+func (n *Node) nextBeat(age time.Duration) time.Duration {
+	if age < searchFor && n.Hosts() == 1 {
+		return searchEvery
 	}
+	return heartbeatEvery
 }
 
 // Placed implements relay.Peers.
@@ -159,14 +164,28 @@
 	n.members.seeds = seeds
 }
 
+// send tells all hosts that were heard lately, and the seeds if it is a heartbeat.
 func (n *Node) send(heartbeat bool) {
-	now := boottime.Now()
-	targets, data, err := n.announcement(now, heartbeat)
+	targets, data, err := n.announcement(boottime.Now(), heartbeat)
+	n.sendTo(targets, data, err)
+}
+
+// greet sends a heartbeat to hosts that know nothing of this one yet, so that
+// hosts that start together know each other after a few round trips.
+func (n *Node) greet(hosts []netip.Addr) {
+	if len(hosts) == 0 {
+		return
+	}
+	_, data, err := n.announcement(boottime.Now(), true)
+	n.sendTo(hosts, data, err)
+}
+
+func (n *Node) sendTo(hosts []netip.Addr, data []byte, err error) {
 	if err != nil {
 		n.parts.Log.Emit(event.OutputFailed).Err(err).Msg("encode an announcement")
 		return
 	}
-	for _, host := range targets {
+	for _, host := range hosts {
 		// A peer that can't be reached drops out after memberMemory; a datagram
 		// that is lost is repaired by the next one.
 		_, _ = n.conn.WriteToUDPAddrPort(data, netip.AddrPortFrom(host, n.options.Local.Port()))
@@ -218,9 +237,11 @@
 
 func (n *Node) hear(m *loadv1.Announcement, from netip.Addr) {
 	now := boottime.Now()
-	if !n.accept(m, from, now) {
+	newcomers, accepted := n.accept(m, from, now)
+	if !accepted {
 		return
 	}
+	n.greet(newcomers)
 	works := make([]place.Work, 0, len(m.GetStreams()))
 	for _, s := range m.GetStreams() {
 		works = append(works, unpackStream(s, now))
@@ -231,24 +252,31 @@
 	}
 }
 
-// accept records the sender and reports whether the datagram is its newest.
-func (n *Node) accept(m *loadv1.Announcement, from netip.Addr, now time.Duration) bool {
+// accept records the sender and reports whether the datagram is its newest. It
+// returns the hosts that know nothing of this one: a sender that is new or has
+// restarted, and hosts that it names.
+func (n *Node) accept(m *loadv1.Announcement, from netip.Addr, now time.Duration) (newcomers []netip.Addr, accepted bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	at := position{m.GetIncarnation(), m.GetSequence(), now}
 	newest, known := n.newest[m.GetHost()]
 	if m.GetHost() == n.options.Host || known && !newest.before(at) {
-		return false
+		return nil, false
 	}
 	n.newest[m.GetHost()] = at
 	if !known {
 		n.parts.Log.Emit(event.PeerJoined).Str("peer", m.GetHost()).Stringer("address", from).Msg("")
 	}
+	if !m.GetLeaving() && newest.incarnation != at.incarnation {
+		newcomers = append(newcomers, from)
+	}
 	n.members.hear(from, now)
 	for _, packed := range m.GetHosts() {
-		n.members.learn(unpackHost(packed), now)
+		if host := unpackHost(packed); n.members.learn(host, now) {
+			newcomers = append(newcomers, host)
+		}
 	}
-	return true
+	return newcomers, true
 }
 
 func (n *Node) suspect(keys []uint32, now time.Duration) {
--- a/peering/peering_test.go
+++ b/peering/peering_test.go
@@ -14,6 +14,7 @@
 	loadv1 "github.com/citronscale/citronscale/api/load/v1"
 	"github.com/citronscale/citronscale/event"
 	"github.com/citronscale/citronscale/fleet"
+	"github.com/citronscale/citronscale/internal/boottime"
 	"github.com/citronscale/citronscale/place"
 )
 
@@ -55,7 +56,8 @@
 	n := &Node{options: Options{Host: "host-1"}, parts: Parts{Ledger: place.NewLedger(), Upstreams: fleet.NewSet(), Log: &event.Logger{}}, members: newMembers(address(1), nil), newest: map[string]position{}}
 	from := address(2)
 	hear := func(incarnation, sequence uint64, now time.Duration) bool {
-		return n.accept(&loadv1.Announcement{Host: "host-2", Incarnation: incarnation, Sequence: sequence}, from, now)
+		_, accepted := n.accept(&loadv1.Announcement{Host: "host-2", Incarnation: incarnation, Sequence: sequence}, from, now)
+		return accepted
 	}
 	assert.Assert(t, hear(5, 2, 0))
 	assert.Assert(t, !hear(5, 1, 0), "overtaken")
@@ -64,6 +66,34 @@
 	assert.Assert(t, hear(3, 1, 5*time.Second), "restarted after the time of day jumped back")
 }
 
+// Hosts that start together, as after a loss of power, must know of each other's
+// streams long before the next heartbeat: until then all of them place their
+// callers on the same engines.
+func TestNewHostsAreGreetedAtOnce(t *testing.T) {
+	n := &Node{options: Options{Host: "host-1"}, parts: Parts{Ledger: place.NewLedger(), Upstreams: fleet.NewSet(), Log: &event.Logger{}}, members: newMembers(address(1), nil), newest: map[string]position{}}
+	hear := func(host byte, incarnation, sequence uint64, leaving bool, named ...byte) []netip.Addr {
+		m := &loadv1.Announcement{Host: string(rune('a' + host)), Incarnation: incarnation, Sequence: sequence, Leaving: leaving}
+		for _, other := range named {
+			m.Hosts = append(m.Hosts, packHost(address(other)))
+		}
+		newcomers, _ := n.accept(m, address(host), time.Second)
+		return newcomers
+	}
+	assert.Check(t, cmp.Len(hear(2, 1, 1, false, 3, 1), 2), "the sender and the host that it names")
+	assert.Check(t, cmp.Len(hear(2, 1, 2, false, 3), 0), "both are known")
+	assert.Check(t, cmp.Len(hear(2, 2, 1, false, 3), 1), "restarted: it knows nothing")
+	assert.Check(t, cmp.Len(hear(2, 2, 1, false), 0), "an old datagram")
+	assert.Check(t, cmp.Len(hear(4, 1, 1, true), 0), "a host that leaves needs nothing")
+}
+
+func TestLonelyHostCallsItsSeedsOften(t *testing.T) {
+	n := &Node{members: newMembers(address(1), []netip.Addr{address(2)})}
+	assert.Equal(t, n.nextBeat(time.Second), searchEvery)
+	assert.Equal(t, n.nextBeat(searchFor), heartbeatEvery, "it may be the only one")
+	n.members.hear(address(2), boottime.Now())
+	assert.Equal(t, n.nextBeat(time.Second), heartbeatEvery)
+}
+
 func TestHostsFindEachOtherAndTellStreams(t *testing.T) {
 	ctx, cancel := context.WithCancel(context.Background())
 	nodes := make([]*Node, 0, 3)
