--- a/host/attempts.go
+++ b/host/attempts.go
@@ -10,6 +10,7 @@
 	"github.com/citronscale/citronscale/event"
 	"github.com/citronscale/citronscale/gateway"
 	"github.com/citronscale/citronscale/ident"
+	"github.com/citronscale/citronscale/internal/ctxtime"
 	"github.com/citronscale/citronscale/lease"
 	"github.com/citronscale/citronscale/strike"
 	"github.com/citronscale/citronscale/upstream"
@@ -121,7 +122,7 @@
 		if asUpstreamError(name, err).Sent == upstream.SentNothing && ctx.Err() == nil {
 			return nil, true
 		}
-		pause(ctx, crashProbePoll)
+		ctxtime.Sleep(ctx, crashProbePoll)
 	}
 	return nil, false
 }
@@ -155,7 +156,7 @@
 		default:
 			return verdict, func() {}, nil
 		}
-		pause(ctx, trialPoll)
+		ctxtime.Sleep(ctx, trialPoll)
 		if ctx.Err() != nil {
 			return verdict, nil, code.New(code.NoCapacity, "the request ended while its content waited for its turn")
 		}
@@ -212,7 +213,7 @@
 		if !waits {
 			queued("suspect content waits for an engine of its own")
 		}
-		pause(ctx, jitter(alonePoll))
+		ctxtime.Sleep(ctx, jitter(alonePoll))
 	}
 	return nil, code.New(code.NoCapacity, "no engine was free for content that has to run alone")
 }
--- a/host/completion.go
+++ b/host/completion.go
@@ -9,6 +9,7 @@
 	"github.com/citronscale/citronscale/code"
 	"github.com/citronscale/citronscale/gateway"
 	"github.com/citronscale/citronscale/ident"
+	"github.com/citronscale/citronscale/internal/ctxtime"
 	"github.com/citronscale/citronscale/record"
 	"github.com/citronscale/citronscale/strike"
 	"github.com/citronscale/citronscale/upstream"
@@ -238,7 +239,7 @@
 	request.Avoid = a.Avoid
 	notBefore := r.retries.notBefore
 	go func() {
-		pause(r.work, time.Until(notBefore))
+		ctxtime.Sleep(r.work, time.Until(notBefore))
 		p, err := r.host.placeContent(r.work, r, &request)
 		if err != nil {
 			r.tell(r.work, runEvent{kind: eventNotPlaced, err: err})
--- a/host/engines.go
+++ b/host/engines.go
@@ -10,6 +10,7 @@
 	"github.com/citronscale/citronscale/config"
 	"github.com/citronscale/citronscale/directory"
 	"github.com/citronscale/citronscale/event"
+	"github.com/citronscale/citronscale/internal/ctxtime"
 	"github.com/citronscale/citronscale/lease"
 	"github.com/citronscale/citronscale/reclaim"
 	"github.com/citronscale/citronscale/upstream"
@@ -80,7 +81,7 @@
 		h.readReports(ctx, owned, h.tendEngine)
 		h.giveOrders(ctx, owned)
 		period := max(h.fleetPolicy().ReportPeriod, ownerTick)
-		pause(ctx, period-time.Since(started))
+		ctxtime.Sleep(ctx, period-time.Since(started))
 	}
 }
 
@@ -96,7 +97,7 @@
 			h.readReports(ctx, pending[:1], nil)
 			pending = pending[1:]
 		}
-		pause(ctx, jitter(samplePeriod))
+		ctxtime.Sleep(ctx, jitter(samplePeriod))
 	}
 }
 
--- a/host/gang.go
+++ b/host/gang.go
@@ -10,6 +10,7 @@
 	"github.com/citronscale/citronscale/balancer"
 	"github.com/citronscale/citronscale/code"
 	"github.com/citronscale/citronscale/gang"
+	"github.com/citronscale/citronscale/internal/ctxtime"
 	"github.com/citronscale/citronscale/upstream"
 )
 
@@ -66,7 +67,7 @@
 		if code.Of(err) != code.NoCapacity || !time.Now().Before(until) || ctx.Err() != nil {
 			return nil, err
 		}
-		pause(ctx, gangPoll)
+		ctxtime.Sleep(ctx, gangPoll)
 	}
 }
 
--- a/host/heartbeats.go
+++ b/host/heartbeats.go
@@ -10,6 +10,7 @@
 	"github.com/citronscale/citronscale/chart"
 	"github.com/citronscale/citronscale/event"
 	"github.com/citronscale/citronscale/ident"
+	"github.com/citronscale/citronscale/internal/ctxtime"
 	"github.com/citronscale/citronscale/membership"
 )
 
@@ -25,7 +26,7 @@
 	last := time.Now()
 	for ctx.Err() == nil {
 		period := h.heartbeatPeriod()
-		pause(ctx, period)
+		ctxtime.Sleep(ctx, period)
 		now := time.Now()
 		// The wall clock counts: the monotonic one stands still while the
 		// machine is suspended.
--- a/host/leases.go
+++ b/host/leases.go
@@ -8,6 +8,7 @@
 
 	peerv1 "github.com/citronscale/citronscale/api/peer/v1"
 	"github.com/citronscale/citronscale/ident"
+	"github.com/citronscale/citronscale/internal/ctxtime"
 	"github.com/citronscale/citronscale/lease"
 	"github.com/citronscale/citronscale/upstream"
 )
@@ -99,7 +100,7 @@
 		if satisfied || response.GetNotOwner() || response.GetLeaving() || !time.Now().Before(until) || ctx.Err() != nil {
 			return response
 		}
-		pause(ctx, leaseRetryTick)
+		ctxtime.Sleep(ctx, leaseRetryTick)
 	}
 }
 
@@ -127,7 +128,7 @@
 // renewLeases renews leases in use and gives back those that are not.
 func (h *Host) renewLeases(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, renewPeriod)
+		ctxtime.Sleep(ctx, renewPeriod)
 		for _, line := range h.placement.dueLeases() {
 			go h.askOwner(ctx, line, 0)
 		}
@@ -144,7 +145,7 @@
 // drops those that it no longer owns.
 func (h *Host) tendOwners(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, ownerTick)
+		ctxtime.Sleep(ctx, ownerTick)
 		owned := h.ownedEngines()
 		h.placement.setOwned(time.Now(), owned, h.ownerOptions())
 	}
--- a/host/platform.go
+++ b/host/platform.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/citronscale/citronscale/event"
+	"github.com/citronscale/citronscale/internal/ctxtime"
 	"github.com/citronscale/citronscale/settings"
 	"github.com/citronscale/citronscale/source"
 	"github.com/citronscale/citronscale/source/httpsource"
@@ -79,7 +80,7 @@
 	for ctx.Err() == nil {
 		wait := watchWait
 		if !h.agreement.watches() {
-			pause(ctx, jitter(rareRead))
+			ctxtime.Sleep(ctx, jitter(rareRead))
 			wait = 0
 		}
 		asked := time.Now()
@@ -92,15 +93,15 @@
 		down = failed
 		switch {
 		case failed:
-			pause(ctx, jitter(sourceBackoff))
+			ctxtime.Sleep(ctx, jitter(sourceBackoff))
 		case err == nil:
 			h.offerConfig(document, sourceService)
-			pause(ctx, jitter(minReadPause))
+			ctxtime.Sleep(ctx, jitter(minReadPause))
 		case document.Revision < known:
 			h.log.Emit(event.ConfigOlder).Uint64("revision", document.Revision).Uint64("known", known).Msg("")
-			pause(ctx, jitter(sourceBackoff))
+			ctxtime.Sleep(ctx, jitter(sourceBackoff))
 		case time.Since(asked) < wait/2:
-			pause(ctx, jitter(sourceBackoff)) // a service that does not wait is not asked all the time
+			ctxtime.Sleep(ctx, jitter(sourceBackoff)) // a service that does not wait is not asked all the time
 		}
 	}
 }
@@ -125,7 +126,7 @@
 		case h.hosts.age(time.Now()) > maxHostListAge:
 			h.fetchHosts(ctx)
 		}
-		pause(ctx, jitter(hostListPeriod))
+		ctxtime.Sleep(ctx, jitter(hostListPeriod))
 	}
 }
 
@@ -146,13 +147,3 @@
 func jitter(mean time.Duration) time.Duration {
 	return mean/2 + time.Duration(rand.Int64N(int64(mean)))
 }
-
-// pause waits for d or the end of ctx.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/load/runner.go
+++ b/internal/load/runner.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/citronscale/citronscale/code"
+	"github.com/citronscale/citronscale/internal/ctxtime"
 	"github.com/citronscale/citronscale/internal/stub/enginestub"
 )
 
@@ -115,12 +116,5 @@
 
 // sleepUntil reports false if ctx ended first.
 func sleepUntil(ctx context.Context, at time.Time) bool {
-	timer := time.NewTimer(time.Until(at))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return ctxtime.Sleep(ctx, time.Until(at))
 }
--- a/internal/stub/servicestub/service.go
+++ b/internal/stub/servicestub/service.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/citronscale/citronscale/internal/ctxtime"
 	"github.com/citronscale/citronscale/internal/stub/stubhttp"
 	"github.com/citronscale/citronscale/upstream/enginewire"
 )
@@ -204,11 +205,7 @@
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
 	}
-	timer := time.NewTimer(b.delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-r.Context().Done():
+	if !ctxtime.Sleep(r.Context(), b.delay) {
 		panic(http.ErrAbortHandler)
 	}
 	if b.closeBefore {
