--- a/internal/relayd/settings.go
+++ b/internal/relayd/settings.go
@@ -23,6 +23,7 @@
 	Machine  Machine  `toml:"machine"`
 	Platform Platform `toml:"platform"`
 	Stop     Stop     `toml:"stop"`
+	Changes  Changes  `toml:"changes"`
 	Keys     Keys     `toml:"keys"`
 	Retries  Retries  `toml:"retries"`
 }
@@ -56,6 +57,12 @@
 	GraceSeconds float64 `toml:"grace_s"` // until the process is killed
 }
 
+// Changes says how soon what the platform publishes is in force.
+type Changes struct {
+	ConfigMillis float64 `toml:"config_ms"` // a new configuration is in force on all hosts after this
+	DrainMillis  float64 `toml:"drain_ms"`  // an upstream that leaves gets nothing new after this
+}
+
 // Keys says what holds when the configuration can't be confirmed.
 type Keys struct {
 	FailClosed   bool    `toml:"fail_closed"`
@@ -73,6 +80,7 @@
 const (
 	defaultMemoryMB      = 256
 	defaultGraceSeconds  = 8.0
+	defaultChangeMillis  = 2000
 	defaultRevokeMillis  = 5000
 	defaultRatio         = 0.1 // as retry.DefaultBudgetOptions
 	defaultSlack         = 20
@@ -88,6 +96,7 @@
 	}
 	s := &Settings{
 		LogLevel: "info", Machine: Machine{MemoryMB: defaultMemoryMB}, Stop: Stop{GraceSeconds: defaultGraceSeconds},
+		Changes: Changes{ConfigMillis: defaultChangeMillis, DrainMillis: defaultChangeMillis},
 		Keys:    Keys{RevokeMillis: defaultRevokeMillis},
 		Retries: Retries{Ratio: defaultRatio, Slack: defaultSlack, WindowSeconds: defaultWindowSeconds},
 	}
@@ -125,6 +134,9 @@
 	if s.Stop.GraceSeconds < leastGraceSeconds {
 		fault("stop.grace_s", s.Stop.GraceSeconds, "must be at least 0.5")
 	}
+	if s.Changes.ConfigMillis <= 0 || s.Changes.DrainMillis <= 0 {
+		fault("changes", s.Changes, "config_ms and drain_ms must be positive")
+	}
 	if s.Keys.RevokeMillis <= 0 {
 		fault("keys.revoke_ms", s.Keys.RevokeMillis, "must be positive")
 	}
@@ -145,6 +157,11 @@
 	return time.Duration(s.Retries.WindowSeconds * float64(time.Second))
 }
 
+// change is the time in which every change has to be in force.
+func (s *Settings) change() time.Duration {
+	return time.Duration(min(s.Changes.ConfigMillis, s.Changes.DrainMillis) * float64(time.Millisecond))
+}
+
 func (s *Settings) revoke() time.Duration {
 	return time.Duration(s.Keys.RevokeMillis * float64(time.Millisecond))
 }
--- a/internal/relayd/settings_test.go
+++ b/internal/relayd/settings_test.go
@@ -26,6 +26,9 @@
 store = "127.0.0.1:4"
 [stop]
 grace_s = 8
+[changes]
+config_ms = 3000
+drain_ms = 2500
 [keys]
 fail_closed = true
 revoke_ms = 5000
@@ -45,6 +48,7 @@
 	assert.NilError(t, err)
 	assert.Equal(t, s.grace(), 8*time.Second)
 	assert.Equal(t, s.revoke(), 5*time.Second)
+	assert.Equal(t, s.change(), 2500*time.Millisecond)
 	assert.DeepEqual(t, s.seeds(), []netip.Addr{netip.MustParseAddr("127.0.0.2")}, cmpopts.EquateComparable(netip.Addr{}))
 	assert.Equal(t, s.retryWindow(), 10*time.Second)
 }
@@ -54,6 +58,7 @@
 		"host":            strings.Replace(valid, `host = "host-1"`, "", 1),
 		"listen.callers":  strings.Replace(valid, `callers = "127.0.0.1:1"`, "", 1),
 		"stop.grace_s":    strings.Replace(valid, "grace_s = 8", "grace_s = 0.1", 1),
+		"changes":         strings.Replace(valid, "drain_ms = 2500", "drain_ms = 0", 1),
 		"keys.revoke_ms":  strings.Replace(valid, "revoke_ms = 5000", "revoke_ms = 0", 1),
 		"platform.store":  strings.Replace(valid, `store = "127.0.0.1:4"`, "", 1),
 		"line 1, column ": "host = [",
--- a/peering/node.go
+++ b/peering/node.go
@@ -49,6 +49,9 @@
 	Key       func(id string) uint64 // of an engine
 	Log       *event.Logger
 	Rng       *rand.Rand
+	// SourceReturned is called when the source of the configuration answers a
+	// peer again that it did not answer before.
+	SourceReturned func()
 }
 
 // Node is this host among its peers.
@@ -65,6 +68,7 @@
 	sequence uint64
 	newest   map[string]position
 	leaving  bool
+	returned bool // the next announcement says that the source answers again
 }
 
 // position orders the datagrams of one host.
@@ -157,6 +161,15 @@
 	n.send(true)
 }
 
+// SourceReturned tells the peers that the source of the configuration answers
+// this host again.
+func (n *Node) SourceReturned() {
+	n.mu.Lock()
+	n.returned = true
+	n.mu.Unlock()
+	n.send(true)
+}
+
 // SetSeeds changes the hosts that are always told of this one.
 func (n *Node) SetSeeds(seeds []netip.Addr) {
 	n.mu.Lock()
@@ -197,7 +210,10 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.sequence++
-	m := &loadv1.Announcement{Host: n.options.Host, Incarnation: n.incarnation, Sequence: n.sequence, Leaving: n.leaving}
+	m := &loadv1.Announcement{
+		Host: n.options.Host, Incarnation: n.incarnation, Sequence: n.sequence, Leaving: n.leaving, SourceReturned: n.returned,
+	}
+	n.returned = false
 	for _, w := range works {
 		m.Streams = append(m.Streams, packStream(w, now))
 	}
@@ -242,6 +258,9 @@
 		return
 	}
 	n.greet(newcomers)
+	if m.GetSourceReturned() {
+		n.parts.SourceReturned()
+	}
 	works := make([]place.Work, 0, len(m.GetStreams()))
 	for _, s := range m.GetStreams() {
 		works = append(works, unpackStream(s, now))
