Silence ends no answer that is under way and can't go on elsewhere

Attempts were used up, so the cut ended the answer. An upstream's silence is no reason for that.

Change: the timer of an attempt asks whether the request may go on at another upstream (attempts, retry budget, an upstream that was not tried). If not, an answer that is under way, and a request that must not be repeated, wait to the deadline. A request that has not begun and may be repeated by the caller still gets its final answer at once.

Also: callers that found no room are asked to return after 1 to 2 s, drawn, instead of 0.5 s, and after a refusal for too short a deadline as well.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -7,11 +7,13 @@
 	"math/rand/v2"
 	"net/http"
 	"net/url"
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"github.com/citronscale/citronscale/code"
 	"github.com/citronscale/citronscale/fleet"
+	"github.com/citronscale/citronscale/internal/boottime"
 	"github.com/citronscale/citronscale/internal/endtoend"
 	"github.com/citronscale/citronscale/internal/sentconn"
 	"github.com/citronscale/citronscale/retry"
@@ -27,6 +29,8 @@
 	watch    *sentconn.Watch
 	timer    *time.Timer
 	silent   atomic.Bool // the timer ended the attempt
+	others   func() bool // the request may go on at another upstream
+	begun    atomic.Bool // the answer is under way to the caller
 	response *http.Response
 	answer   Answer
 }
@@ -38,13 +42,12 @@
 	a := &attempt{x: x, upstream: send.Upstream}
 	a.ctx, a.cancel = context.WithCancel(x.ctx)
 	a.watch, a.ctx = sentconn.NewWatch(a.ctx)
-	a.timer = time.AfterFunc(wait, func() {
-		a.silent.Store(true)
-		a.cancel()
-	})
 	x.sends++
 	x.runs++
 	x.tried = append(x.tried, send.Upstream.ID)
+	a.others = x.othersLeft()
+	a.begun.Store(x.begun)
+	a.timer = time.AfterFunc(wait, a.giveUp)
 	response, err := x.s.transport.RoundTrip(x.outgoing(a.ctx, send)) //nolint:bodyclose // attempt.close closes it
 	if err != nil {
 		failure := a.failure(err)
@@ -60,8 +63,38 @@
 	return a, nil
 }
 
-// extend lets the attempt go on for another wait.
+// giveUp ends an attempt that made no progress for its wait. A silent upstream
+// may still answer, so an answer that is under way and can't go on elsewhere waits
+// to its end, and so does a request that the caller can't repeat either.
+func (a *attempt) giveUp() {
+	bound := a.begun.Load() || !a.x.route.Repeatable()
+	if left := a.x.left(); left > minAttempt && bound && !a.others() {
+		a.timer.Reset(left)
+		return
+	}
+	a.silent.Store(true)
+	a.cancel()
+}
+
+// othersLeft returns a function that reports whether the request may be tried
+// once more after the present attempt. It may be called from any goroutine.
+func (x *exchange) othersLeft() func() bool {
+	if !x.route.Repeatable() || x.runs >= x.route.Attempts {
+		return func() bool { return false }
+	}
+	service, tried := x.service.Name, slices.Clone(x.tried)
+	return func() bool {
+		if !x.s.mayRepeat(service) {
+			return false
+		}
+		views := x.s.upstreams.Of(service, boottime.Now())
+		return slices.ContainsFunc(views, func(v fleet.View) bool { return !v.Avoided && !slices.Contains(tried, v.ID) })
+	}
+}
+
+// extend lets the attempt go on for another wait after an event.
 func (a *attempt) extend(wait time.Duration) {
+	a.begun.Store(true)
 	a.timer.Reset(wait)
 }
 
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -162,7 +163,7 @@
 	x.status = c.Status()
 	header := x.w.Header()
 	header.Set("Content-Type", "application/problem+json")
-	if after, ok := retryAfter(c); ok {
+	if after, ok := x.s.retryAfter(c); ok {
 		header.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', -1, 64))
 	}
 	body, encodeErr := json.Marshal(code.ProblemOf(err))
@@ -178,10 +179,11 @@
 
 // retryAfter returns when a refused caller should come back: at once where
 // another host can serve it, later where all are short of room.
-func retryAfter(c code.Code) (time.Duration, bool) {
+func (s *Server) retryAfter(c code.Code) (time.Duration, bool) {
 	switch c {
-	case code.NoCapacity, code.BufferFull:
-		return returnDelay, true
+	case code.NoCapacity, code.BufferFull, code.DeadlineTooShort:
+		spread := draw(s, func(rng *rand.Rand) int64 { return rng.Int64N(int64(returnMost - returnLeast)) })
+		return (returnLeast + time.Duration(spread)).Round(time.Millisecond), true
 	case code.HostLeaving, code.HostNotReady, code.ConfigUnconfirmed, code.UpstreamUnavailable, code.RetryBudgetSpent:
 		return 0, true
 	default:
@@ -189,9 +191,12 @@
 	}
 }
 
-// returnDelay is about the time in which an engine reads a middle-sized prompt
-// or writes a short answer, so that room is likely then.
-const returnDelay = 500 * time.Millisecond
+// returnLeast and returnMost spread the returns of callers that found no room. A
+// short stream frees its place in about that time.
+const (
+	returnLeast = time.Second
+	returnMost  = 2 * time.Second
+)
 
 func (x *exchange) note(format string, args ...any) {
 	const mostNotes = 6 // keeps log lines short
--- a/relay/server.go
+++ b/relay/server.go
@@ -153,6 +153,13 @@
 	return retryPolicy(attempts).Decide(time.Now(), failure, s.budget(service), s.rng)
 }
 
+// mayRepeat reports whether the retry budget of a service has room for a repeat.
+func (s *Server) mayRepeat(service string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.budget(service).Level(time.Now()) >= 1
+}
+
 func (s *Server) budget(service string) *retry.Budget {
 	b, ok := s.budgets[service]
 	if !ok {
