Read as a newcomer: comments of the attempt's timer, names in the soak

Cause: a comment said which goroutines may call a function but meant the function that it returns; a field said "in turn" for hosts in rotation, another was unused.

--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -39,18 +39,17 @@
 
 // crowd is all callers and the balancer before them.
 type crowd struct {
-	w       *world
-	stop    chan struct{}
-	group   sync.WaitGroup
-	inTurn  atomic.Pointer[[]*host] // hosts that get new connections
-	nextID  atomic.Uint64
-	started time.Time
+	w          *world
+	stop       chan struct{}
+	group      sync.WaitGroup
+	inRotation atomic.Pointer[[]*host] // hosts that get new connections
+	nextID     atomic.Uint64
 }
 
 func (w *world) startCrowd() *crowd {
-	c := &crowd{w: w, stop: make(chan struct{}), started: time.Now()}
+	c := &crowd{w: w, stop: make(chan struct{})}
 	all := slices.Clone(w.hosts)
-	c.inTurn.Store(&all)
+	c.inRotation.Store(&all)
 	c.group.Go(c.balance)
 	for n := range callersPerHost * len(w.hosts) {
 		c.group.Go(func() { c.call(w.rngOf(uint64(1000 + n))) })
@@ -86,7 +85,7 @@
 		if len(ready) == 0 {
 			ready = slices.Clone(c.w.hosts)
 		}
-		c.inTurn.Store(&ready)
+		c.inRotation.Store(&ready)
 		time.Sleep(readyEvery)
 	}
 }
@@ -97,7 +96,7 @@
 	var at *host
 	for !c.stopped() {
 		if client == nil || rng.Float64() < switchShare {
-			hosts := *c.inTurn.Load()
+			hosts := *c.inRotation.Load()
 			at = hosts[rng.IntN(len(hosts))]
 			client = &http.Client{Transport: &http.Transport{DisableCompression: true}}
 		}
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/citronscale/citronscale/internal/faultproxy"
+	"github.com/citronscale/citronscale/platform/platformtest"
 )
 
 // act is one fault or planned work. It returns when it is over.
@@ -316,7 +317,7 @@
 
 // atWork reports whether a replica has requests that have not ended.
 func (w *world) atWork(u *upstream) bool {
-	return slices.ContainsFunc(u.replica.Runs(), func(r platformRun) bool { return r.Ended.IsZero() })
+	return slices.ContainsFunc(u.replica.Runs(), func(r platformtest.Run) bool { return r.Ended.IsZero() })
 }
 
 func (w *world) harmUpstreamPath(rng *rand.Rand) {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -10,12 +10,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
-
-	"github.com/citronscale/citronscale/platform/platformtest"
 )
 
-type platformRun = platformtest.Run
-
 var (
 	firstSeed = flag.Uint64("soak.seed", 1, "first seed")
 	seeds     = flag.Int("soak.seeds", 1, "number of seeds")
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -77,7 +77,8 @@
 }
 
 // othersLeft returns a function that reports whether the request may be tried
-// once more after the present attempt. It may be called from any goroutine.
+// once more after the present attempt. The timer calls it from its own goroutine,
+// so it works on copies.
 func (x *exchange) othersLeft() func() bool {
 	if !x.route.Repeatable() || x.runs >= x.route.Attempts {
 		return func() bool { return false }
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -178,7 +178,8 @@
 }
 
 // retryAfter returns when a refused caller should come back: at once where
-// another host can serve it, later where all are short of room.
+// another host can serve it, later, and not all together, where all are short of
+// room.
 func (s *Server) retryAfter(c code.Code) (time.Duration, bool) {
 	switch c {
 	case code.NoCapacity, code.BufferFull, code.DeadlineTooShort:
