Processes of tests have groups of their own

The script ran in the background of a shell that ended in the seconds in which the host was stopped. The kernel sends SIGHUP and SIGCONT to a process group that becomes orphaned while one of its processes is stopped, and SIGHUP ended citrond.

Ruled out: load and memory (the process was stopped, so only a signal could end it).

Change: internal/testproc starts the processes of processtest, proctest and the soak in groups of their own.

Conclusion: traced and mended; no check was changed.

--- a/internal/processtest/fleet_test.go
+++ b/internal/processtest/fleet_test.go
@@ -22,6 +22,7 @@
 	"github.com/citronscale/citronscale/internal/stub/servicestub"
 	"github.com/citronscale/citronscale/internal/stub/stubhttp"
 	"github.com/citronscale/citronscale/internal/testport"
+	"github.com/citronscale/citronscale/internal/testproc"
 	"github.com/citronscale/citronscale/source"
 	"github.com/citronscale/citronscale/source/httpsource"
 )
@@ -198,7 +199,7 @@
 	assert.NilError(t, err)
 	binary, err := os.Executable()
 	assert.NilError(t, err)
-	host.command = exec.Command(binary, "--settings", path)
+	host.command = testproc.Command(binary, "--settings", path)
 	host.command.Env = append(os.Environ(), daemonVariable+"=1")
 	host.command.Stdout = log
 	host.command.Stderr = log
--- a/internal/proctest/fleet_test.go
+++ b/internal/proctest/fleet_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/citronscale/citronscale/internal/testport"
+	"github.com/citronscale/citronscale/internal/testproc"
 	"github.com/citronscale/citronscale/source/httpsource"
 )
 
@@ -79,7 +80,7 @@
 }
 
 func (p *process) start() {
-	p.command = exec.Command(p.args[0], p.args[1:]...)
+	p.command = testproc.Command(p.args[0], p.args[1:]...)
 	p.command.Stdout = &p.output
 	p.command.Stderr = &p.output
 	assert.NilError(p.t, p.command.Start())
--- a/internal/soak/host_test.go
+++ b/internal/soak/host_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/citronscale/citronscale/internal/faultproxy"
+	"github.com/citronscale/citronscale/internal/testproc"
 )
 
 const (
@@ -86,7 +87,7 @@
 		h.w.book.violate("harness", "open the output of %s: %v", h.name, err)
 		return
 	}
-	command := exec.Command(filepath.Join(binaries, "citronrelay"), "--settings", h.settings)
+	command := testproc.Command(filepath.Join(binaries, "citronrelay"), "--settings", h.settings)
 	command.Stdout, command.Stderr = out, out
 	if err := command.Start(); err != nil {
 		h.w.book.violate("harness", "start %s: %v", h.name, err)
