--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -149,13 +149,13 @@
 	}
 }
 
-// checkVersions looks for hosts that go back to an older configuration: a key
-// or route that a process knew is not unknown to it later.
+// checkVersions looks for hosts that go back to an older configuration: a key that
+// a process accepted and that still holds is not refused later.
 func (c *checker) checkVersions(requests []request) {
 	type process struct {
 		host        *host
 		incarnation int
-		thing       string
+		key         string
 	}
 	known := map[process]time.Time{} // when it was first known for certain
 	for i := range requests {
