relay: a line for each lost attempt, with the parts of its prompt

The lines of a request named its engines and errors, but neither the parts of its prompt nor whether an event had come, so a fault of the content could not be told from one of the engines. Event 211 (attempt failed), which citrond used, is written by the relay for each attempt whose answer broke off: request, upstream, attempt, events, parts, error. It shares the bound of the lines of failed requests.

Logic unchanged.

--- a/relay/answer.go
+++ b/relay/answer.go
@@ -65,6 +65,7 @@
 	}
 	x.s.upstreams.Begin(chosen.ID)
 	answer, err := x.fetch(chosen.Upstream)
+	x.logLost(chosen.Upstream, x.events, err)
 	x.s.upstreams.End(chosen.ID, outcomeOf(err), boottime.Now())
 	return answer, err
 }
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -12,6 +13,7 @@
 	"time"
 
 	"github.com/citronscale/citronscale/code"
+	"github.com/citronscale/citronscale/event"
 	"github.com/citronscale/citronscale/fleet"
 	"github.com/citronscale/citronscale/internal/boottime"
 	"github.com/citronscale/citronscale/internal/endtoend"
@@ -187,6 +189,30 @@
 	return nil
 }
 
+// logLost logs an attempt that was sent and whose answer broke off, with what tells
+// apart a fault of the upstream from one of the request.
+func (x *exchange) logLost(upstream fleet.Upstream, eventsBefore int, err error) {
+	switch code.Of(err) {
+	case code.UpstreamLost, code.UpstreamSilent, code.AnswerIncomplete:
+	default:
+		return
+	}
+	if !x.s.lines.allow(false, time.Now(), x.s.log) {
+		return
+	}
+	x.s.log.Emit(event.AttemptFailed).Str("request", x.call.ID).Str("upstream", upstream.ID).
+		Int("attempt", x.attempts).Int("events", x.events-eventsBefore).Strs("parts", partNames(x.call.Parts)).Err(err).Msg("")
+}
+
+// partNames returns the identifiers of prompt parts as logs and dumps show them.
+func partNames(parts []uint64) []string {
+	names := make([]string, len(parts))
+	for i, part := range parts {
+		names[i] = fmt.Sprintf("%x", part)
+	}
+	return names
+}
+
 // blameHelper records the fault of a helper for which the upstream refused the
 // request, so that the next attempt does without it.
 func (a *attempt) blameHelper() {
--- a/relay/dialect.go
+++ b/relay/dialect.go
@@ -14,6 +14,7 @@
 	Key              string        // identifies the team of the caller; empty if absent
 	TimeLeft         time.Duration // time to the caller's deadline; 0 if absent
 	PromptTokens     int           // tokens of the prompt
+	Parts            []uint64      // identifiers of the parts of the prompt, in order; the last one is of this request or its session
 	MaxAnswerTokens  int           // limit of the answer tokens; 0 if absent
 	AnswerTokensHint int           // estimate of the answer tokens; 0 if absent
 	LastEvent        string        // identifier of the last event that the caller received
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -86,8 +86,10 @@
 	}
 	x.helperAtFault = false
 	x.s.upstreams.Begin(p.main.ID)
+	eventsBefore := x.events
 	answer, err := x.streamFrom(p)
 	p.end()
+	x.logLost(p.main, eventsBefore, err)
 	outcome := outcomeOf(err)
 	if x.helperAtFault {
 		outcome = fleet.Abandoned
