A part of a prompt that crashes engines is found and refused

Callers of such prompts got 502 and 503 with Retry-After.

Cause: citronrelay kept nothing of a crash. Each request with the part was sent, and sent again, as any other. Package strike was not used, and would not have helped: it knows whole prompts, and no two were alike. The class: evidence kept for the request instead of for what requests share. citrond has the same gap (it knows no parts).

Change: strike.PartRegistry counts crashes for each part, from requests whose answer had not begun. A request that begins on an engine that stays up clears its parts. What is left after three crashes under two different requests, and half a second, is refused in combination with what was common to all of them; parts that ran before need more. Refusals end after ten seconds or more if no engine crashes, then four times as long for each crash. Hosts tell each other as a rumor, without the relays of the groups, and tell hosts that start. A connection that ends counts only if the upstream then refuses connections. Codes RequestQuarantined and QuarantinedAfterRun (422, no Retry-After), events 506 to 508, two metrics, a dump entry, lines of citronctl story.

--- a/code/code.go
+++ b/code/code.go
@@ -92,6 +92,8 @@
 	UpstreamFailed  Code = 3001
 	KeyOutcomeGone  Code = 3002
 	AnswerTruncated Code = 3003
+	// QuarantinedAfterRun is RequestQuarantined after an attempt of the request itself.
+	QuarantinedAfterRun Code = 3004
 )
 
 // Outcome returns whether the request ran, as far as the code states it.
--- a/code/table.go
+++ b/code/table.go
@@ -60,4 +60,5 @@
 	{UpstreamFailed, "UpstreamFailed", http.StatusBadGateway, false, "The upstream ran the request and reported a failure.", "Read the detail of the failure."},
 	{KeyOutcomeGone, "KeyOutcomeGone", http.StatusConflict, false, "The call with this key ran; its recorded answer is no longer kept.", "Ask the service for the result."},
 	{AnswerTruncated, "AnswerTruncated", http.StatusBadGateway, false, "The upstream ended its answer before the end marker.", "Send the prompt again."},
+	{QuarantinedAfterRun, "QuarantinedAfterRun", http.StatusUnprocessableEntity, false, "Upstreams crashed while they ran this request; it is not sent again.", "Don't send the content again; see the trace."},
 }
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -70,6 +70,7 @@
 	UpstreamOrderFailed = Event{505, "upstream order failed", log.WarnLevel, "An engine refused or missed an order.", "Compare the fencing numbers with citronctl upstreams."}
 	ContentStruck       = Event{506, "content struck", log.WarnLevel, "An upstream crashed while it ran this content.", "Run citronctl trace with the request identifier."}
 	ContentQuarantined  = Event{507, "content quarantined", log.ErrorLevel, "Content crashed upstreams repeatedly and is refused.", "Ask the team not to send it again."}
+	QuarantineLifted    = Event{508, "quarantine lifted", log.InfoLevel, "Content that was refused is sent to upstreams again.", ""}
 )
 
 var catalogue = []Event{
@@ -82,5 +83,5 @@
 	ConfigStale, ConfigFresh, EntryUnreadable, HistoryLost,
 	PeerJoined, PeerSuspect, PeerLost, PeerLeaving, AnnouncementUnreadable, PeerFetchFailed,
 	UpstreamUp, UpstreamDown, UpstreamLeaving, UpstreamReclaimed, UpstreamOrdered,
-	UpstreamOrderFailed, ContentStruck, ContentQuarantined,
+	UpstreamOrderFailed, ContentStruck, ContentQuarantined, QuarantineLifted,
 }
--- a/internal/ctl/story.go
+++ b/internal/ctl/story.go
@@ -10,6 +10,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/citronscale/citronscale/event"
 )
 
 // storyCommand prints the lines of the collected logs that concern one request.
@@ -36,6 +38,8 @@
 	Result    string   `json:"result"`
 	Detail    string   `json:"detail"`
 	Notes     []string `json:"notes"`
+	Parts     []string `json:"parts"`   // of the prompt, or of what is refused
+	Content   string   `json:"content"` // digest of the request
 
 	raw string
 }
@@ -96,11 +100,13 @@
 	return lines, scanner.Err()
 }
 
-// selectLines returns the lines of a request and those about its hosts and upstreams,
-// from near before its start to near after its end, sorted by time.
+// selectLines returns the lines of a request, those about its hosts and upstreams, from
+// near before its start to near after its end, and the first ones that tell why its
+// content is refused, sorted by time.
 func selectLines(lines []logLine, request string, near time.Duration) []logLine {
 	var selected []logLine
 	involved := map[string]bool{}
+	contents := map[string]bool{}
 	for _, line := range lines {
 		if line.Request != request {
 			continue
@@ -110,6 +116,9 @@
 		for _, upstream := range slices.Concat(line.Upstreams, line.Helpers) {
 			involved[upstream] = true
 		}
+		for _, id := range append(line.Parts, line.Content) {
+			contents[id] = true
+		}
 	}
 	if len(selected) == 0 {
 		return nil
@@ -128,10 +137,31 @@
 			selected = append(selected, line)
 		}
 	}
+	selected = append(selected, quarantineLines(lines, contents, from, to)...)
 	slices.SortStableFunc(selected, func(a, b logLine) int { return cmp.Compare(a.Time, b.Time) })
 	return selected
 }
 
+// quarantineLines returns the first line, before a time, of each combination of parts
+// that contents holds whole. Lines from the given time on were selected already if they
+// are about a host of the request.
+func quarantineLines(lines []logLine, contents map[string]bool, from, to int64) []logLine {
+	var selected []logLine
+	told := map[string]bool{}
+	for _, line := range lines {
+		key := strings.Join(line.Parts, ",")
+		foreign := slices.ContainsFunc(line.Parts, func(part string) bool { return !contents[part] })
+		if line.Event != event.ContentQuarantined.Number || line.Time > to || foreign || told[key] {
+			continue
+		}
+		told[key] = true
+		if line.Time < from {
+			selected = append(selected, line)
+		}
+	}
+	return selected
+}
+
 func (l *logLine) text() string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "%s %-20s %d %s", time.UnixMilli(l.Time).UTC().Format("15:04:05.000"), l.Host, l.Event, l.Name)
@@ -144,6 +174,9 @@
 	if len(l.Upstreams) > 0 {
 		fmt.Fprintf(&b, " through %s", strings.Join(l.Upstreams, ", "))
 	}
+	if len(l.Parts) > 0 {
+		fmt.Fprintf(&b, " with parts %s", strings.Join(l.Parts, ","))
+	}
 	for _, note := range l.Notes {
 		fmt.Fprintf(&b, "\n    %s", note)
 	}
--- a/internal/ctl/story_test.go
+++ b/internal/ctl/story_test.go
@@ -36,3 +36,19 @@
 	c.Args.Request = "r-9"
 	assert.ErrorContains(t, c.Execute(nil), "no line names request")
 }
+
+func TestStoryTellsWhyContentIsRefused(t *testing.T) {
+	const log = `{"time":1000,"event":507,"name":"content quarantined","host":"host-7","parts":["aa","bb"],"crashes":3}
+{"time":1010,"event":507,"name":"content quarantined","host":"host-8","parts":["aa","bb"],"crashes":3}
+{"time":1020,"event":507,"name":"content quarantined","host":"host-7","parts":["aa","dd"],"crashes":3}
+{"time":90000,"event":213,"name":"request relayed","host":"host-1","request":"r-1","result":"RequestQuarantined","took":1,"parts":["aa","bb","cc"]}
+`
+	var out bytes.Buffer
+	c := &storyCommand{app: &app{out: &out}, in: strings.NewReader(log), Near: 5 * time.Second}
+	c.Args.Request = "r-1"
+	assert.NilError(t, c.Execute(nil))
+	got := strings.Split(strings.TrimSpace(out.String()), "\n")
+	assert.Equal(t, len(got), 2, out.String())
+	assert.Assert(t, strings.Contains(got[0], "host-7") && strings.Contains(got[0], "507 content quarantined with parts aa,bb"), got[0])
+	assert.Assert(t, strings.Contains(got[1], "RequestQuarantined"), got[1])
+}
--- a/internal/relayd/daemon.go
+++ b/internal/relayd/daemon.go
@@ -61,13 +61,14 @@
 	writer   *log.AsyncWriter
 	log      *event.Logger
 
-	routes    *route.Holder
-	upstreams *fleet.Set
-	ledger    *place.Ledger
-	metrics   *metrics.Metrics
-	feed      *platform.Feed
-	node      *peering.Node
-	relay     *relay.Server
+	routes     *route.Holder
+	upstreams  *fleet.Set
+	ledger     *place.Ledger
+	quarantine *relay.Quarantine
+	metrics    *metrics.Metrics
+	feed       *platform.Feed
+	node       *peering.Node
+	relay      *relay.Server
 
 	mu      sync.Mutex
 	machine *chart.Machine
@@ -93,6 +94,7 @@
 		Address: settings.Platform.Store.String(), WatchWait: watchWait, Validity: confirmWithin, Readers: readers,
 		Takeover: platform.ConfirmationAge(watchWait) + takeoverMargin, Settle: watchWait,
 	}, d.routes, d.upstreams, d.log, newRng())
+	d.quarantine = relay.NewQuarantine(d.log, d.metrics, newRng())
 	d.node, err = peering.Listen(
 		peering.Options{
 			Host: settings.Host, Local: settings.Peers.Address, Seeds: settings.seeds(),
@@ -102,7 +104,7 @@
 		peering.Parts{
 			Ledger: d.ledger, Upstreams: d.upstreams, Key: relay.EngineKey, Log: d.log, Rng: newRng(),
 			SourceRecovered: d.feed.Retry, Vouched: d.feed.Vouched, Age: d.feed.Age,
-			SourceOutageAge: d.feed.OutageAge, Mirror: d.feed.Mirror(),
+			SourceOutageAge: d.feed.OutageAge, Mirror: d.feed.Mirror(), Evidence: d.quarantine,
 		},
 	)
 	if err != nil {
@@ -118,7 +120,7 @@
 		AdmitLeaving: time.Duration(admitShare * float64(settings.gracePeriod())),
 	}, relay.Parts{
 		Dialect: platform.Headers{}, Memory: platform.NewMemory(), Routes: d.routes, Upstreams: d.upstreams, Ledger: d.ledger,
-		Peers: d.node, Log: d.log, Metrics: d.metrics, Rng: newRng(),
+		Peers: d.node, Quarantine: d.quarantine, Log: d.log, Metrics: d.metrics, Rng: newRng(),
 	})
 	return d, nil
 }
--- a/internal/relayd/listeners.go
+++ b/internal/relayd/listeners.go
@@ -12,6 +12,7 @@
 
 	"github.com/citronscale/citronscale/event"
 	"github.com/citronscale/citronscale/internal/boottime"
+	"github.com/citronscale/citronscale/relay"
 )
 
 const (
@@ -105,6 +106,8 @@
 	Rank      int           `json:"rank"`   // in the group; the first ranks read the platform for the others
 	Upstreams []string      `json:"upstreams"`
 	Streams   any           `json:"streams"`
+
+	Quarantines []relay.QuarantineEntry `json:"quarantines"` // combinations of prompt parts that are refused
 }
 
 func (d *Daemon) serveDump(w http.ResponseWriter, _ *http.Request) {
@@ -115,6 +118,7 @@
 	out := dump{
 		Host: d.settings.Host, State: state, Ready: d.ready.Load(), ConfigAge: d.routes.Age(now),
 		InFlight: d.relay.InFlight(), Hosts: d.node.Hosts(), Upstreams: d.upstreams.IDs(), Streams: d.ledger.All(now),
+		Quarantines: d.quarantine.Entries(now),
 	}
 	out.Group, out.Groups = d.node.Group()
 	out.Rank = d.node.Rank()
--- a/metrics/builder.go
+++ b/metrics/builder.go
@@ -37,6 +37,12 @@
 	return g
 }
 
+func (b *builder) level(name, description string) metric.Int64Gauge {
+	g, err := b.meter.Int64Gauge(name, metric.WithDescription(description))
+	b.err = errors.Join(b.err, err)
+	return g
+}
+
 func (b *builder) secondsGauge(name, description string) metric.Float64ObservableGauge {
 	g, err := b.meter.Float64ObservableGauge(name, metric.WithUnit(unitSeconds), metric.WithDescription(description))
 	b.err = errors.Join(b.err, err)
--- a/metrics/relay.go
+++ b/metrics/relay.go
@@ -17,6 +17,8 @@
 	duration   metric.Float64Histogram
 	first      metric.Float64Histogram
 	prediction metric.Float64Histogram
+	crashes    metric.Int64Counter
+	quarantine metric.Int64Gauge
 }
 
 // Buckets in seconds: durations around the goals of routes, and differences
@@ -33,6 +35,8 @@
 		duration:   b.seconds("relay_duration", "Time from the arrival of a relayed request to its end.", relayBuckets),
 		first:      b.seconds("relay_first_event", "Time from the arrival of a relayed request to its first event.", relayBuckets),
 		prediction: b.seconds("relay_prediction_error", "First event of a stream, later than predicted.", predictionBuckets),
+		crashes:    b.counter("relay_upstream_crashes", "", "Requests whose upstream crashed before it began the answer."),
+		quarantine: b.level("relay_quarantines", "Combinations of prompt parts that are refused at present."),
 	}
 }
 
@@ -69,3 +73,20 @@
 	}
 	m.relay.retries.Add(context.Background(), 1, relayOption(kind, cause))
 }
+
+// RelayUpstreamCrashed counts one request whose upstream crashed before it began the
+// answer.
+func (m *Metrics) RelayUpstreamCrashed() {
+	if m == nil {
+		return
+	}
+	m.relay.crashes.Add(context.Background(), 1)
+}
+
+// RelayQuarantined records the number of combinations of parts that are refused.
+func (m *Metrics) RelayQuarantined(count int) {
+	if m == nil {
+		return
+	}
+	m.relay.quarantine.Record(context.Background(), int64(count))
+}
--- a/peering/members.go
+++ b/peering/members.go
@@ -129,6 +129,14 @@
 	return hosts
 }
 
+// sample draws n live hosts.
+func (m *members) sample(n int, now time.Duration, rng *rand.Rand) []netip.Addr {
+	hosts := m.live(now)
+	slices.SortFunc(hosts, netip.Addr.Compare)
+	rng.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
+	return hosts[:min(len(hosts), n)]
+}
+
 // sampleHeard draws the hosts that one datagram names, from those that recently
 // sent a datagram themselves.
 func (m *members) sampleHeard(now time.Duration, rng *rand.Rand) []netip.Addr {
--- a/peering/node.go
+++ b/peering/node.go
@@ -71,6 +71,7 @@
 	// outage.
 	SourceOutageAge func() time.Duration
 	Mirror          *mirror.State
+	Evidence        EvidenceStore
 }
 
 // Node exchanges placed streams with the peers of this host.
@@ -90,6 +91,7 @@
 	members  *members
 	outbox   *outbox
 	queries  *queries
+	rumors   rumors
 	sequence uint64
 	newest   map[netip.Addr]position
 	leaving  bool
@@ -141,11 +143,13 @@
 		case <-ctx.Done():
 		case <-heartbeat.C:
 			n.send(true)
+			n.repeatEvidence()
 			heartbeat.Reset(n.nextHeartbeat(n.now() - started))
 		case <-query.C:
 			n.sendQueries()
 		case <-relay.C:
 			n.relayNews()
+			n.spreadEvidence()
 		}
 	}
 	if err := errors.Join(n.conn.Close(), n.server.Close()); err != nil {
@@ -331,6 +335,8 @@
 	case *loadv1.Datagram_Query:
 		n.markHeard(from, now)
 		n.sendTo([]netip.Addr{from}, n.confirmation(content.Query.GetNumber()))
+	case *loadv1.Datagram_Evidence:
+		n.handleEvidence(content.Evidence, from, now)
 	case *loadv1.Datagram_Confirmation:
 		n.handleConfirmation(content.Confirmation, from, now)
 	default:
@@ -350,6 +356,7 @@
 		return
 	}
 	n.greet(newHosts)
+	n.tellEvidence(newHosts)
 	if m.GetSourceReturned() {
 		n.parts.SourceRecovered()
 	}
--- a/peering/peering_test.go
+++ b/peering/peering_test.go
@@ -18,6 +18,7 @@
 	"github.com/citronscale/citronscale/internal/boottime"
 	"github.com/citronscale/citronscale/mirror"
 	"github.com/citronscale/citronscale/place"
+	"github.com/citronscale/citronscale/strike"
 )
 
 func TestStreamEncodingRoundTrip(t *testing.T) {
@@ -112,7 +113,8 @@
 		}, Parts{
 			Ledger: ledger, Upstreams: fleet.NewSet(), Key: func(string) uint64 { return 1 }, Log: &event.Logger{}, Rng: rand.New(rand.NewPCG(1, uint64(i))),
 			SourceRecovered: func() { recoveries[i].Add(1) }, Vouched: func(Vouch) {}, Mirror: mirror.NewState(),
-			Age: func() time.Duration { return 0 }, SourceOutageAge: func() time.Duration { return time.Hour },
+			Evidence: &evidenceStore{registry: strike.NewPartRegistry(strike.DefaultPartOptions(rand.New(rand.NewPCG(1, 1))))},
+			Age:      func() time.Duration { return 0 }, SourceOutageAge: func() time.Duration { return time.Hour },
 		})
 		assert.NilError(t, err)
 		port = node.options.Local.Port()
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -52,6 +52,9 @@
 	if x.deadlineAt-now < minAttemptTime {
 		return nil, code.New(code.DeadlineBeforeStart, "%v left before the deadline", x.deadlineAt-now)
 	}
+	if err := x.checkQuarantine(); err != nil {
+		return nil, err
+	}
 	views := x.s.upstreams.ForService(x.service.Name, now)
 	tried := x.tried
 	chosen := withRand(x.s, func(rng *rand.Rand) *fleet.View {
@@ -66,6 +69,10 @@
 	x.s.upstreams.Begin(chosen.ID)
 	answer, err := x.fetch(chosen.Upstream)
 	x.logLost(chosen.Upstream, x.events, err)
+	x.recordCrash(chosen.Upstream, 0, err)
+	if err == nil {
+		x.recordStart(now)
+	}
 	x.s.upstreams.End(chosen.ID, outcomeOf(err), boottime.Now())
 	return answer, err
 }
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -3,12 +3,12 @@
 import (
 	"bytes"
 	"context"
-	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/url"
 	"slices"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -208,11 +208,15 @@
 func partNames(parts []uint64) []string {
 	names := make([]string, len(parts))
 	for i, part := range parts {
-		names[i] = fmt.Sprintf("%x", part)
+		names[i] = partName(part)
 	}
 	return names
 }
 
+func partName(part uint64) string {
+	return strconv.FormatUint(part, 16)
+}
+
 // blameHelper records the fault of a helper for which the upstream refused the
 // request, so that the next attempt does without it.
 func (a *attempt) blameHelper() {
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -17,6 +17,7 @@
 	"github.com/citronscale/citronscale/fleet"
 	"github.com/citronscale/citronscale/internal/boottime"
 	"github.com/citronscale/citronscale/route"
+	"github.com/citronscale/citronscale/strike"
 )
 
 // exchange is the state of one request of a caller.
@@ -32,6 +33,7 @@
 	route      *route.Route
 	team       string
 	body       []byte
+	content    strike.Request
 	deadlineAt time.Duration // the earlier deadline of the caller and the route
 
 	path           string
@@ -140,6 +142,7 @@
 		return err
 	}
 	x.body = body
+	x.content = x.requestContent()
 	return nil
 }
 
@@ -162,7 +165,7 @@
 // already, finish aborts the connection instead.
 func (x *exchange) refuse(err error) {
 	if x.runs > 0 && code.Of(err).Outcome() == code.NotRun {
-		err = code.Wrap(err, code.UpstreamLost) // an earlier attempt may have run
+		err = code.Wrap(err, codeAfterRun(code.Of(err)))
 	}
 	x.result = err
 	if x.answerStarted {
@@ -187,6 +190,15 @@
 	}
 }
 
+// codeAfterRun returns the code of a request that is refused after an attempt that may
+// have run.
+func codeAfterRun(refusal code.Code) code.Code {
+	if refusal == code.RequestQuarantined {
+		return code.QuarantinedAfterRun
+	}
+	return code.UpstreamLost
+}
+
 // retryAfter returns the delay after which a refused caller should retry: none
 // if another host can serve the request, and a random one if no host has
 // capacity, so that the callers don't return together.
@@ -240,6 +252,12 @@
 	if x.table != nil {
 		line = line.Uint64("config", x.table.Version()).Dur("config_age", x.s.routes.Age(boottime.Now()))
 	}
+	if c != code.OK && len(x.call.Parts) > 0 {
+		line = line.Strs("parts", partNames(x.call.Parts))
+	}
+	if c == code.RequestQuarantined || c == code.QuarantinedAfterRun {
+		line = line.Str("content", partName(x.content.Content))
+	}
 	if x.predictedFirst > 0 {
 		line = line.Int("prompt", x.call.PromptTokens).Float64("expected_ms", x.predictedFirst).Int("events", x.events).
 			Strs("helpers", x.helpers).Dur("placed", x.placedAt-x.arrived)
--- a/relay/server.go
+++ b/relay/server.go
@@ -15,6 +15,7 @@
 	"github.com/citronscale/citronscale/place"
 	"github.com/citronscale/citronscale/retry"
 	"github.com/citronscale/citronscale/route"
+	"github.com/citronscale/citronscale/strike"
 )
 
 // Peers announces changes of the streams of this host to the other hosts.
@@ -28,21 +29,24 @@
 	// Group returns the number of this host's group and the number of groups in its
 	// failure domain, or 0 groups if all hosts hear of each stream at once.
 	Group() (number, count int)
+	// ShareEvidence tells all hosts about content that crashes upstreams.
+	ShareEvidence(e strike.Evidence)
 }
 
 // Server serves the routes of a route.Holder.
 type Server struct {
-	options   Options
-	dialect   Dialect
-	memory    Memory
-	started   int64 // start in Unix milliseconds, part of the reservation identifiers
-	routes    *route.Holder
-	upstreams *fleet.Set
-	ledger    *place.Ledger
-	peers     Peers
-	log       *event.Logger
-	metrics   *metrics.Metrics
-	transport *http.Transport
+	options    Options
+	dialect    Dialect
+	memory     Memory
+	started    int64 // start in Unix milliseconds, part of the reservation identifiers
+	routes     *route.Holder
+	upstreams  *fleet.Set
+	ledger     *place.Ledger
+	quarantine *Quarantine
+	peers      Peers
+	log        *event.Logger
+	metrics    *metrics.Metrics
+	transport  *http.Transport
 
 	mu        sync.Mutex // guards rng, budgets and leavingAt
 	rng       *rand.Rand
@@ -59,22 +63,23 @@
 
 // Parts are the components that a Server uses.
 type Parts struct {
-	Dialect   Dialect
-	Memory    Memory
-	Routes    *route.Holder
-	Upstreams *fleet.Set
-	Ledger    *place.Ledger
-	Peers     Peers
-	Log       *event.Logger
-	Metrics   *metrics.Metrics
-	Rng       *rand.Rand
+	Dialect    Dialect
+	Memory     Memory
+	Routes     *route.Holder
+	Upstreams  *fleet.Set
+	Ledger     *place.Ledger
+	Quarantine *Quarantine
+	Peers      Peers
+	Log        *event.Logger
+	Metrics    *metrics.Metrics
+	Rng        *rand.Rand
 }
 
 // New returns a server. It is ready once Parts.Routes holds a table.
 func New(options Options, parts Parts) *Server {
 	return &Server{
 		options: options, dialect: parts.Dialect, memory: parts.Memory, started: time.Now().UnixMilli(), routes: parts.Routes, upstreams: parts.Upstreams,
-		ledger: parts.Ledger, peers: parts.Peers, log: parts.Log, metrics: parts.Metrics,
+		ledger: parts.Ledger, quarantine: parts.Quarantine, peers: parts.Peers, log: parts.Log, metrics: parts.Metrics,
 		transport: newTransport(), lines: newLineLimiter(), rng: parts.Rng, budgets: map[string]*retry.Budget{},
 	}
 }
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -80,6 +80,9 @@
 	if x.timeLeft() < minAttemptTime {
 		return nil, code.New(code.DeadlineBeforeStart, "%v left before the deadline", x.timeLeft())
 	}
+	if err := x.checkQuarantine(); err != nil {
+		return nil, fmt.Errorf("%w: %w", errNotPlaced, err)
+	}
 	p, err := x.place()
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errNotPlaced, err)
@@ -90,6 +93,7 @@
 	answer, err := x.streamFrom(p)
 	p.end()
 	x.logLost(p.main, eventsBefore, err)
+	x.recordCrash(p.main, x.events-eventsBefore, err)
 	outcome := outcomeOf(err)
 	if x.helperAtFault {
 		outcome = fleet.Abandoned
@@ -142,9 +146,14 @@
 func (x *exchange) forwardEvents(a *attempt, p *placement) error {
 	reader := newEventReader(a.response.Body)
 	flusher := http.NewResponseController(x.w)
+	var begun time.Duration // first event of the attempt
+	recorded := false
 	for {
 		raw, id, err := reader.next()
 		if errors.Is(err, io.EOF) {
+			if !recorded && begun > 0 {
+				x.recordStart(begun)
+			}
 			return x.endStream(a, raw)
 		}
 		if err != nil {
@@ -153,8 +162,16 @@
 		if !x.answerStarted {
 			x.writeStreamHeader(a)
 		}
-		x.recordEvent(boottime.Now())
+		now := boottime.Now()
+		x.recordEvent(now)
 		p.firstEvent()
+		switch {
+		case begun == 0:
+			begun = now
+		case !recorded && now-begun >= upstreamProof:
+			recorded = true
+			x.recordStart(begun)
+		}
 		if _, err := x.w.Write(raw); err != nil {
 			return code.New(code.CallerGone, "write to the caller: %w", err)
 		}
--- a/strike/doc.go
+++ b/strike/doc.go
@@ -1,4 +1,8 @@
-// Package strike finds content that crashes the engines that run it.
+// Package strike finds content that crashes the engines that run it. A Registry knows
+// whole prompts by their digests; a PartRegistry also knows the parts that prompts
+// share, and finds the part that crashes engines where no two prompts are alike.
+//
+// # Registry
 //
 // When an engine crashes, all content that ran on it gets a strike and is
 // suspect. The next attempts of suspects go to separate engines, so that no two
@@ -26,4 +30,10 @@
 // engine crashed, Finished when an answer is complete, and Gossip and Merge for
 // heartbeats. A Registry performs no I/O and reads no clock; it is not safe for
 // concurrent use, the host package holds the lock.
+//
+// # PartRegistry
+//
+// The relay package reports each request that was lost in a crash before its answer
+// began (Lost) and each answer that began on an engine that stayed up (Started), shares
+// the evidence that both return, and calls Judge before each attempt.
 package strike
