strike: after an outage, prompts get time to begin before parts are refused

Where no answer began for two seconds, new refusals wait for half a second after the next one. Refusals in force stay.

--- a/strike/evidence.go
+++ b/strike/evidence.go
@@ -86,9 +86,11 @@
 	cleared     map[uint64]time.Duration // latest known start of identifiers in losses; it clears them of earlier ones
 	starts      *startCache              // latest starts of answers of this host
 	latestStart time.Duration
+	resumedAt   time.Duration // latestStart was followed by none for outageTime before that
 
 	quarantines []Quarantine
 	stale       bool          // the quarantines must be derived again
+	awaitsStart bool          // they may change with the start of any prompt
 	checkAt     time.Duration // when they change without new evidence
 }
 
@@ -171,9 +173,12 @@
 	if at <= before {
 		return false
 	}
+	if at-before >= outageTime {
+		r.resumedAt = at
+	}
 	r.latestStart = at
 	first := slices.ContainsFunc(r.losses, func(l Loss) bool { return l.At >= before && l.At < at })
-	r.stale = r.stale || len(r.losses) > 0
+	r.stale = r.stale || r.awaitsStart
 	return first
 }
 
--- a/strike/quarantine.go
+++ b/strike/quarantine.go
@@ -31,6 +31,10 @@
 	settleTime = 500 * time.Millisecond
 	// holdFactor multiplies the time of the refusals after each crash beyond those needed.
 	holdFactor = 4
+	// outageTime is the time without an answer that begins after which the next one may
+	// be the first on engines that were all down. Requests with other parts get settleTime
+	// to begin as well.
+	outageTime = 2 * time.Second
 	// sameMoment is the time within which crashes count as one: engines that are killed
 	// together crash together, and each holds other requests.
 	sameMoment = 50 * time.Millisecond
@@ -88,6 +92,11 @@
 	return without(r.quarantines, before), without(before, r.quarantines)
 }
 
+// refuses reports whether requests with an identifier are refused until now.
+func (r *PartRegistry) refuses(id uint64) bool {
+	return slices.ContainsFunc(r.quarantines, func(q Quarantine) bool { return q.ID == id })
+}
+
 // without returns the quarantines of a list that cover other requests than those of
 // another one.
 func without(list, other []Quarantine) []Quarantine {
@@ -128,6 +137,7 @@
 		checkAgain(r.losses[0].At + r.options.Memory)
 	}
 	explained := map[int]bool{}
+	r.awaitsStart = false
 	for _, c := range r.candidates() {
 		unexplained := 0
 		for moment := range c.moments {
@@ -139,10 +149,15 @@
 			continue
 		}
 		if c.prompt && r.latestStart <= c.othersStarted {
+			r.awaitsStart = true
 			continue // no engine works, whatever it runs
 		}
-		if now < c.first+settleTime {
-			checkAgain(c.first + settleTime)
+		settled := c.first + settleTime
+		if c.prompt && !r.refuses(c.id) {
+			settled = max(settled, r.resumedAt+settleTime)
+		}
+		if now < settled {
+			checkAgain(settled)
 			continue
 		}
 		for moment := range c.moments {
