relay: reads the rate that upstreams name, and logs each change

Answers with Server-Limit were passed on unread, and no line told which upstream had named what. Events 509 and 510 tell when a host hears that an upstream names a rate, another one, or none. The rate is kept in the new package throttle; nothing acts on it yet.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -70,6 +70,8 @@
 	UpstreamOrderFailed = Event{505, "upstream order failed", log.WarnLevel, "An engine refused or missed an order.", "Compare the fencing numbers with citronctl upstreams."}
 	ContentStruck       = Event{506, "content struck", log.WarnLevel, "An upstream crashed while it ran this content.", "Run citronctl trace with the request identifier."}
 	ContentQuarantined  = Event{507, "content quarantined", log.ErrorLevel, "Content crashed upstreams repeatedly and is refused.", "Ask the team not to send it again."}
+	UpstreamLimited     = Event{509, "upstream limited", log.WarnLevel, "An upstream names the rate of requests that it takes from all hosts.", "Look for the trouble of the upstream; add replicas if most are limited."}
+	UpstreamUnlimited   = Event{510, "upstream unlimited", log.InfoLevel, "An upstream names no rate any more.", ""}
 	QuarantineLifted    = Event{508, "quarantine lifted", log.InfoLevel, "Content that was refused is sent to upstreams again.", ""}
 )
 
@@ -84,4 +86,5 @@
 	PeerJoined, PeerSuspect, PeerLost, PeerLeaving, AnnouncementUnreadable, PeerFetchFailed,
 	UpstreamUp, UpstreamDown, UpstreamLeaving, UpstreamReclaimed, UpstreamOrdered,
 	UpstreamOrderFailed, ContentStruck, ContentQuarantined, QuarantineLifted,
+	UpstreamLimited, UpstreamUnlimited,
 }
--- a/internal/relayd/daemon.go
+++ b/internal/relayd/daemon.go
@@ -23,6 +23,7 @@
 	"github.com/citronscale/citronscale/platform"
 	"github.com/citronscale/citronscale/relay"
 	"github.com/citronscale/citronscale/route"
+	"github.com/citronscale/citronscale/throttle"
 )
 
 const (
@@ -65,6 +66,7 @@
 	upstreams  *fleet.Set
 	ledger     *place.Ledger
 	quarantine *relay.Quarantine
+	limits     *throttle.Book
 	metrics    *metrics.Metrics
 	feed       *platform.Feed
 	node       *peering.Node
@@ -79,7 +81,7 @@
 func New(settings *Settings, path string, out io.Writer) (*Daemon, error) {
 	debug.SetMemoryLimit(int64(memoryShare * settings.Machine.MemoryMB * megabyte))
 	d := &Daemon{
-		settings: settings, path: path, routes: &route.Holder{}, upstreams: fleet.NewSet(), ledger: place.NewLedger(),
+		settings: settings, path: path, routes: &route.Holder{}, upstreams: fleet.NewSet(), ledger: place.NewLedger(), limits: throttle.NewBook(),
 		machine: chart.MustLoad(chart.Process).New(),
 	}
 	d.writer, d.log = newLogger(settings, out)
@@ -120,7 +122,7 @@
 		AdmitLeaving: time.Duration(admitShare * float64(settings.gracePeriod())),
 	}, relay.Parts{
 		Dialect: platform.Headers{}, Memory: platform.NewMemory(), Routes: d.routes, Upstreams: d.upstreams, Ledger: d.ledger,
-		Peers: d.node, Quarantine: d.quarantine, Log: d.log, Metrics: d.metrics, Rng: newRng(),
+		Peers: d.node, Quarantine: d.quarantine, Limits: d.limits, Log: d.log, Metrics: d.metrics, Rng: newRng(),
 	})
 	return d, nil
 }
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -59,6 +59,7 @@
 	}
 	a.response = response
 	a.answer = x.s.dialect.Answer(response.StatusCode, response.Header)
+	x.s.recordLimit(params.Upstream, a.answer)
 	if err := a.checkAnswer(); err != nil {
 		a.close()
 		return nil, err
@@ -189,6 +190,18 @@
 	return nil
 }
 
+// recordLimit records the rate that an answer names.
+func (s *Server) recordLimit(upstream fleet.Upstream, answer Answer) {
+	if !s.limits.Named(uint32(EngineKey(upstream.ID)), answer.Limited, answer.Limit, boottime.Now()) {
+		return
+	}
+	e := event.UpstreamUnlimited
+	if answer.Limited {
+		e = event.UpstreamLimited
+	}
+	s.log.Emit(e).Str("upstream", upstream.ID).Str("service", upstream.Service).Float64("rate", answer.Limit).Msg("")
+}
+
 // logLost logs an attempt that was sent and whose answer broke off, with what tells
 // apart a fault of the upstream from one of the request.
 func (x *exchange) logLost(upstream fleet.Upstream, eventsBefore int, err error) {
--- a/relay/dialect.go
+++ b/relay/dialect.go
@@ -42,6 +42,10 @@
 	Sealed    bool   // the answer carries a seal of the upstream
 	NotRun    bool   // the upstream did not run the request and will not run it
 	Fault     string // IP:port or identifier of the upstream that caused a refusal
+	// Limited tells that the upstream takes at most Limit requests a second, from all
+	// hosts together, for as long as its answers say so.
+	Limited bool
+	Limit   float64
 }
 
 // Dialect reads and writes the headers that callers and upstreams use.
--- a/relay/server.go
+++ b/relay/server.go
@@ -16,6 +16,7 @@
 	"github.com/citronscale/citronscale/retry"
 	"github.com/citronscale/citronscale/route"
 	"github.com/citronscale/citronscale/strike"
+	"github.com/citronscale/citronscale/throttle"
 )
 
 // Peers announces changes of the streams of this host to the other hosts.
@@ -43,6 +44,7 @@
 	upstreams  *fleet.Set
 	ledger     *place.Ledger
 	quarantine *Quarantine
+	limits     *throttle.Book
 	peers      Peers
 	log        *event.Logger
 	metrics    *metrics.Metrics
@@ -69,6 +71,7 @@
 	Upstreams  *fleet.Set
 	Ledger     *place.Ledger
 	Quarantine *Quarantine
+	Limits     *throttle.Book
 	Peers      Peers
 	Log        *event.Logger
 	Metrics    *metrics.Metrics
@@ -79,7 +82,7 @@
 func New(options Options, parts Parts) *Server {
 	return &Server{
 		options: options, dialect: parts.Dialect, memory: parts.Memory, started: time.Now().UnixMilli(), routes: parts.Routes, upstreams: parts.Upstreams,
-		ledger: parts.Ledger, quarantine: parts.Quarantine, peers: parts.Peers, log: parts.Log, metrics: parts.Metrics,
+		ledger: parts.Ledger, quarantine: parts.Quarantine, limits: parts.Limits, peers: parts.Peers, log: parts.Log, metrics: parts.Metrics,
 		transport: newTransport(), lines: newLineLimiter(), rng: parts.Rng, budgets: map[string]*retry.Budget{},
 	}
 }
