Requests of all hosts are kept to the rate that an upstream names

What callers saw: little. What upstreams saw: an upstream in need named in its answers how many requests it takes a second from all hosts together, and got two to three times as many (15 to 26 in 4 s where 11 to 21 are allowed).

Cause: the rate was read nowhere, and no host knew what the others sent to an upstream over a time; only the streams that are active are announced. The class: a bound that holds for all hosts together needs news of what all did, not only of what is under way.

Change: package throttle counts the requests of all hosts to an upstream in four seconds. No host has a share, which at hundreds of hosts would be far below one request; each announces what it sent to upstreams that name a rate, with its streams, in its group at once and to the others with the news of the group. An upstream at its rate is no candidate for placing. Where all are, a request waits if it can still be in time, and is refused at once with UpstreamLimit and a Retry-After at which a place comes free if not. Parts of prompts that such an upstream prefills for others are bounded beside that (half the rate and three), and it keeps no memory for others. The rate ends with the first newer answer that names none.

--- a/code/code.go
+++ b/code/code.go
@@ -65,6 +65,7 @@
 	CallerGoneBeforeStart Code = 1026
 	RouteUnknown          Code = 1027
 	ConfigUnconfirmed     Code = 1028
+	UpstreamLimit         Code = 1029
 	SettingsInvalid       Code = 1901
 	ConfigInvalid         Code = 1902
 	UsageInvalid          Code = 1903
--- a/peering/bundle.go
+++ b/peering/bundle.go
@@ -2,12 +2,14 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
 	loadv1 "github.com/citronscale/citronscale/api/load/v1"
 	"github.com/citronscale/citronscale/place"
+	"github.com/citronscale/citronscale/throttle"
 )
 
 const (
@@ -32,6 +34,7 @@
 	domain      uint32
 	leaving     bool
 	unreachable []uint32
+	uses        []throttle.Use
 
 	changed     bool
 	relayed     map[uint64]bool // identifiers of relayed streams; true if the first event was
@@ -112,6 +115,7 @@
 func (s *source) completeNews(host netip.Addr, now time.Duration) *loadv1.HostNews {
 	n := s.header(host, now)
 	n.Complete, n.Capacity, n.Domain, n.Leaving, n.Unreachable = true, s.capacity, s.domain, s.leaving, s.unreachable
+	n.Uses = packUses(s.uses, now)
 	clear(s.relayed)
 	for _, stream := range s.streams {
 		n.Streams = append(n.Streams, packStream(stream, now))
@@ -138,13 +142,25 @@
 			delete(s.relayed, id)
 		}
 	}
+	n.Uses = packUses(s.newUses(now), now)
 	s.changed = false
-	if len(n.Streams) == 0 && len(n.Ended) == 0 {
+	if len(n.Streams) == 0 && len(n.Ended) == 0 && len(n.Uses) == 0 {
 		return nil
 	}
 	return n
 }
 
+// newUses returns the uses that may have changed since the last complete news.
+func (s *source) newUses(now time.Duration) []throttle.Use {
+	return slices.DeleteFunc(slices.Clone(s.uses), func(use throttle.Use) bool {
+		newest := use.Rate.NamedAt
+		for _, at := range slices.Concat(use.Sent, use.Parts) {
+			newest = max(newest, at)
+		}
+		return now-newest > refreshInterval
+	})
+}
+
 // pass keeps news of another group for the next call of takePassed.
 func (o *outbox) pass(news []*loadv1.HostNews, now time.Duration) {
 	for _, n := range news {
@@ -164,6 +180,15 @@
 				stream.WritingMs += delay
 			}
 		}
+		for _, use := range p.news.GetUses() {
+			use.NamedMs += delay
+			for i := range use.GetSentMs() {
+				use.SentMs[i] += delay
+			}
+			for i := range use.GetPartMs() {
+				use.PartMs[i] += delay
+			}
+		}
 		list = append(list, p.news)
 	}
 	o.passed = nil
--- /dev/null
+++ b/peering/limits_test.go
@@ -0,0 +1,48 @@
+package peering
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/citronscale/citronscale/throttle"
+)
+
+// What hosts sent to an upstream that names a rate must be known to all hosts within the
+// time in which the bound on its requests is checked, and by hosts that start.
+func TestRequestsToLimitedUpstreamsAreKnownToAllHosts(t *testing.T) {
+	for _, c := range []struct {
+		hosts  int
+		within time.Duration
+	}{{18, 20 * time.Millisecond}, {111, 300 * time.Millisecond}} {
+		t.Run(fmt.Sprintf("%d hosts", c.hosts), func(t *testing.T) {
+			const upstream = 7
+			m := newFleetModel(21, c.hosts)
+			m.run(6 * time.Second)
+			for _, h := range m.list[:4] {
+				h.limits.Named(upstream, throttle.Rate{Limited: true, PerSecond: 1, NamedAt: m.now})
+				h.limits.Sent(upstream, m.now)
+				h.limits.SentPart(upstream, m.now)
+				h.node.StreamPlaced()
+			}
+			sent := m.now
+			m.run(c.within)
+			late := func() (n int) {
+				for _, h := range m.list {
+					wait := h.limits.Wait(upstream, m.now)
+					// Ages don't include the way of the news, so waits may be longer by that.
+					if left := sent + 4*time.Second - m.now; wait < left-20*time.Millisecond || wait > left+2*relayInterval {
+						n++
+					}
+				}
+				return n
+			}
+			assert.Equal(t, late(), 0, "hosts that don't know all requests")
+			m.start(m.list[c.hosts/2].addr)
+			m.run(1500 * time.Millisecond)
+			assert.Equal(t, late(), 0, "hosts that don't know all requests after a restart")
+		})
+	}
+}
--- a/peering/message.go
+++ b/peering/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"math"
 	"net/netip"
 	"time"
 
@@ -9,6 +10,7 @@
 
 	loadv1 "github.com/citronscale/citronscale/api/load/v1"
 	"github.com/citronscale/citronscale/place"
+	"github.com/citronscale/citronscale/throttle"
 )
 
 func packHost(host netip.Addr) uint32 {
@@ -34,6 +36,43 @@
 	return uint32(max(d, 0) / time.Millisecond)
 }
 
+func packUses(uses []throttle.Use, now time.Duration) []*loadv1.Use {
+	list := make([]*loadv1.Use, 0, len(uses))
+	for _, use := range uses {
+		u := &loadv1.Use{Upstream: use.Key, NamedMs: millis(now - use.Rate.NamedAt)}
+		if use.Rate.Limited {
+			u.MilliRate = uint32(min(1000*use.Rate.PerSecond, math.MaxUint32-1)) + 1
+		}
+		for _, sent := range use.Sent {
+			u.SentMs = append(u.SentMs, millis(now-sent))
+		}
+		for _, part := range use.Parts {
+			u.PartMs = append(u.PartMs, millis(now-part))
+		}
+		list = append(list, u)
+	}
+	return list
+}
+
+func unpackUses(list []*loadv1.Use, now time.Duration) []throttle.Use {
+	at := func(age uint32) time.Duration { return now - time.Duration(age)*time.Millisecond }
+	uses := make([]throttle.Use, 0, len(list))
+	for _, u := range list {
+		use := throttle.Use{Key: u.GetUpstream(), Rate: throttle.Rate{NamedAt: at(u.GetNamedMs())}}
+		if milli := u.GetMilliRate(); milli > 0 {
+			use.Rate.Limited, use.Rate.PerSecond = true, float64(milli-1)/1000
+		}
+		for _, age := range u.GetSentMs() {
+			use.Sent = append(use.Sent, at(age))
+		}
+		for _, age := range u.GetPartMs() {
+			use.Parts = append(use.Parts, at(age))
+		}
+		uses = append(uses, use)
+	}
+	return uses
+}
+
 func packStream(stream place.Stream, now time.Duration) *loadv1.Stream {
 	s := &loadv1.Stream{
 		Id: uint32(stream.ID), PromptTokens: uint32(stream.Prompt), AnswerTokens: uint32(stream.Answer),
--- a/peering/node.go
+++ b/peering/node.go
@@ -21,6 +21,7 @@
 	"github.com/citronscale/citronscale/internal/ctxtime"
 	"github.com/citronscale/citronscale/mirror"
 	"github.com/citronscale/citronscale/place"
+	"github.com/citronscale/citronscale/throttle"
 )
 
 const (
@@ -72,6 +73,7 @@
 	SourceOutageAge func() time.Duration
 	Mirror          *mirror.State
 	Evidence        EvidenceStore
+	Limits          *throttle.Book
 }
 
 // Node exchanges placed streams with the peers of this host.
@@ -259,6 +261,7 @@
 // announcement returns the state of this host and the hosts to send it to.
 func (n *Node) announcement(now time.Duration, heartbeat bool) (*loadv1.Announcement, []netip.Addr) {
 	streams := n.parts.Ledger.Own()
+	uses := n.parts.Limits.Uses(now)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.sequence++
@@ -269,7 +272,9 @@
 	for _, s := range streams {
 		m.Streams = append(m.Streams, packStream(s, now))
 	}
+	m.Uses = packUses(uses, now)
 	own := n.outbox.update(n.members.self, n.incarnation, n.sequence, streams, now)
+	own.uses = uses
 	own.capacity, own.domain, own.leaving = n.options.Capacity, n.members.domain, n.leaving
 	targets := n.members.groups(now).own
 	if heartbeat {
@@ -362,6 +367,8 @@
 	}
 	streams := unpackStreams(m.GetStreams(), now)
 	n.parts.Ledger.SetPeer(from.String(), streams, now)
+	uses := unpackUses(m.GetUses(), now)
+	n.parts.Limits.SetPeer(from.String(), uses, now)
 	n.suspect(m.GetUnreachable(), now)
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -369,6 +376,7 @@
 		return
 	}
 	s := n.outbox.update(from, m.GetIncarnation(), m.GetSequence(), streams, now)
+	s.uses = uses
 	s.capacity, s.domain, s.leaving = m.GetCapacity(), m.GetDomain(), m.GetLeaving()
 	if len(m.GetHosts()) > 0 { // a heartbeat
 		s.unreachable = m.GetUnreachable()
--- a/peering/relaying.go
+++ b/peering/relaying.go
@@ -77,6 +77,7 @@
 func (n *Node) applyNews(news *loadv1.HostNews, now time.Duration) {
 	streams := unpackStreams(news.GetStreams(), now)
 	peer := unpackHost(news.GetAddress()).String()
+	n.parts.Limits.SetPeer(peer, unpackUses(news.GetUses(), now), now)
 	if news.GetComplete() {
 		n.parts.Ledger.SetPeer(peer, streams, now)
 		n.suspect(news.GetUnreachable(), now)
--- a/place/decide.go
+++ b/place/decide.go
@@ -16,7 +16,11 @@
 	Avoided     bool    // it could not be reached recently
 	Local       bool    // it is in this host's failure domain
 	Shared      bool    // hosts that this one hears of with a delay prefer it
-	Load        *Load   // nil if the engine is idle
+	// Limited tells that the engine names the rate of requests that it takes. It keeps no
+	// part of a prompt for another engine, as that needs requests all the time.
+	Limited      bool
+	TakesNoParts bool  // it has prefilled too many parts for others lately
+	Load         *Load // nil if the engine is idle
 }
 
 // Request is a stream to be placed.
@@ -162,11 +166,11 @@
 			break
 		}
 		e := &engines[c.index]
-		if c.index == plan.Main || e.Avoided || !canHelp(costs, e.Load) {
+		if c.index == plan.Main || e.Avoided || e.TakesNoParts || !canHelp(costs, e.Load) {
 			continue
 		}
 		switch {
-		case len(holding) < s.holders && hasMemory(costs, e.Load, s.share):
+		case len(holding) < s.holders && !e.Limited && hasMemory(costs, e.Load, s.share):
 			holding = append(holding, c.index)
 		case len(prefilling) < s.parts-1-s.holders:
 			prefilling = append(prefilling, c.index)
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -4,6 +4,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -30,6 +31,9 @@
 			x.writeAnswer(answer)
 			return
 		}
+		if x.awaitLimit(err) {
+			continue
+		}
 		final := x.prepareRetry(err)
 		if final == nil {
 			continue
@@ -55,16 +59,9 @@
 	if err := x.checkQuarantine(); err != nil {
 		return nil, err
 	}
-	views := x.s.upstreams.ForService(x.service.Name, now)
-	tried := x.tried
-	chosen := withRand(x.s, func(rng *rand.Rand) *fleet.View {
-		if v, ok := fleet.Choose(views, x.s.options.FailureDomain, tried, rng); ok {
-			return &v
-		}
-		return nil
-	})
-	if chosen == nil {
-		return nil, code.New(code.NoCapacity, "service %q has %d upstreams, %d were tried", x.service.Name, len(views), len(x.tried))
+	chosen, err := x.choose(now)
+	if err != nil {
+		return nil, err
 	}
 	x.s.upstreams.Begin(chosen.ID)
 	answer, err := x.fetch(chosen.Upstream)
@@ -77,6 +74,36 @@
 	return answer, err
 }
 
+// choose selects the upstream of an attempt and counts the request against the rate that
+// it may have named.
+func (x *exchange) choose(now time.Duration) (*fleet.View, error) {
+	all := x.s.upstreams.ForService(x.service.Name, now)
+	untried := slices.DeleteFunc(slices.Clone(all), func(v fleet.View) bool { return slices.Contains(x.tried, v.ID) })
+	for {
+		views, err := x.s.withinLimits(untried, now)
+		if err != nil {
+			return nil, err
+		}
+		v := withRand(x.s, func(rng *rand.Rand) *fleet.View {
+			if chosen, ok := fleet.Choose(views, x.s.options.FailureDomain, nil, rng); ok {
+				return &chosen
+			}
+			return nil
+		})
+		if v == nil {
+			return nil, code.New(code.NoCapacity, "service %q has %d upstreams, %d were tried", x.service.Name, len(all), len(x.tried))
+		}
+		key := limitKey(v.ID)
+		if !x.s.limits.Take(key, now) {
+			continue // another request took the last place
+		}
+		if x.s.limits.Limited(key) {
+			x.s.peers.StreamPlaced()
+		}
+		return v, nil
+	}
+}
+
 func (x *exchange) fetch(upstream fleet.Upstream) (*completeAnswer, error) {
 	a, err := x.send(AttemptParams{Upstream: upstream, TimeLeft: x.timeLeft(), Team: x.team, LastEvent: x.call.LastEvent}, x.answerTimeout())
 	if err != nil {
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -109,7 +109,7 @@
 		}
 		now := boottime.Now()
 		views := slices.DeleteFunc(x.s.upstreams.ForService(service.Name, now), func(v fleet.View) bool {
-			return v.Avoided || slices.Contains(tried, v.ID)
+			return v.Avoided || slices.Contains(tried, v.ID) || x.s.limits.Wait(limitKey(v.ID), now) > 0
 		})
 		if len(views) == 0 || current.Kind == route.Stream && service.Engine != nil && !x.hasRoom(service.Engine, views, now) {
 			return false
@@ -190,18 +190,6 @@
 	return nil
 }
 
-// recordLimit records the rate that an answer names.
-func (s *Server) recordLimit(upstream fleet.Upstream, answer Answer) {
-	if !s.limits.Named(uint32(EngineKey(upstream.ID)), answer.Limited, answer.Limit, boottime.Now()) {
-		return
-	}
-	e := event.UpstreamUnlimited
-	if answer.Limited {
-		e = event.UpstreamLimited
-	}
-	s.log.Emit(e).Str("upstream", upstream.ID).Str("service", upstream.Service).Float64("rate", answer.Limit).Msg("")
-}
-
 // logLost logs an attempt that was sent and whose answer broke off, with what tells
 // apart a fault of the upstream from one of the request.
 func (x *exchange) logLost(upstream fleet.Upstream, eventsBefore int, err error) {
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -176,7 +176,12 @@
 	x.status = c.Status()
 	header := x.w.Header()
 	header.Set("Content-Type", "application/problem+json")
-	if after, ok := x.s.retryAfter(c); ok {
+	after, ok := x.s.retryAfter(c)
+	var limited *limitError
+	if errors.As(err, &limited) && c == code.UpstreamLimit {
+		after, ok = x.s.retryAfterLimit(limited), true
+	}
+	if ok {
 		header.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', -1, 64))
 	}
 	body, encodeErr := json.Marshal(code.ProblemOf(err))
@@ -294,7 +299,7 @@
 		return fleet.Answered
 	case code.UpstreamUnavailable, code.UpstreamSilent, code.UpstreamLost:
 		return fleet.Unreachable
-	case code.NoCapacity:
+	case code.NoCapacity, code.UpstreamLimit:
 		return fleet.Refused
 	case code.CallerGone, code.CallerGoneBeforeStart, code.DeadlineExceeded:
 		return fleet.Abandoned
--- /dev/null
+++ b/relay/limits.go
@@ -0,0 +1,80 @@
+package relay
+
+import (
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/citronscale/citronscale/code"
+	"github.com/citronscale/citronscale/event"
+	"github.com/citronscale/citronscale/fleet"
+	"github.com/citronscale/citronscale/internal/boottime"
+	"github.com/citronscale/citronscale/internal/ctxtime"
+	"github.com/citronscale/citronscale/throttle"
+)
+
+// limitKey returns the key of an upstream in announcements between hosts.
+func limitKey(id string) uint32 {
+	return uint32(EngineKey(id))
+}
+
+// recordLimit records the rate that an answer names.
+func (s *Server) recordLimit(upstream fleet.Upstream, answer Answer) {
+	rate := throttle.Rate{Limited: answer.Limited, PerSecond: answer.Limit, NamedAt: boottime.Now()}
+	if !s.limits.Named(limitKey(upstream.ID), rate) {
+		return
+	}
+	s.peers.StreamProgressed()
+	e := event.UpstreamUnlimited
+	if answer.Limited {
+		e = event.UpstreamLimited
+	}
+	s.log.Emit(e).Str("upstream", upstream.ID).Str("service", upstream.Service).Float64("rate", answer.Limit).Msg("")
+}
+
+// limitError refuses a request because all upstreams are at the rate that they name.
+type limitError struct {
+	error
+	wait time.Duration // until the first of them takes another request
+}
+
+func (e *limitError) Unwrap() error { return e.error }
+
+// withinLimits returns the upstreams that take a request now. It fails if none does
+// because of the rates that they name.
+func (s *Server) withinLimits(views []fleet.View, now time.Duration) ([]fleet.View, error) {
+	shortest := time.Duration(-1)
+	free := slices.DeleteFunc(slices.Clone(views), func(v fleet.View) bool {
+		wait := s.limits.Wait(limitKey(v.ID), now)
+		if wait > 0 && (shortest < 0 || wait < shortest) {
+			shortest = wait
+		}
+		return wait > 0
+	})
+	if len(free) > 0 || len(views) == 0 {
+		return free, nil
+	}
+	return nil, &limitError{
+		code.New(code.UpstreamLimit, "%d upstreams are at the rate that they name, the first is free in %v", len(views), shortest), shortest,
+	}
+}
+
+// awaitLimit waits until an upstream takes another request, if the answer can still be in
+// time then, and reports whether to try again. Longer waits would only let requests queue
+// that are late in the end.
+func (x *exchange) awaitLimit(reason error) bool {
+	var limited *limitError
+	if !errors.As(reason, &limited) {
+		return false
+	}
+	left := x.arrived + x.route.Goal - boottime.Now()
+	return limited.wait < left && limited.wait < x.timeLeft()-minAttemptTime && ctxtime.Sleep(x.ctx, limited.wait)
+}
+
+// retryAfterLimit returns the delay after which a caller should retry: when an upstream
+// takes another request, and a random time, so that the callers don't return together.
+func (s *Server) retryAfterLimit(limited *limitError) time.Duration {
+	jitter := withRand(s, func(rng *rand.Rand) int64 { return rng.Int64N(int64(retryAfterMin)) })
+	return (limited.wait + time.Duration(jitter)).Round(time.Millisecond)
+}
--- a/relay/placement.go
+++ b/relay/placement.go
@@ -75,6 +75,10 @@
 func (x *exchange) placeAmong(views []fleet.View, now time.Duration) (*placement, error) {
 	x.s.placing.Lock()
 	defer x.s.placing.Unlock()
+	views, err := x.s.withinLimits(views, now)
+	if err != nil {
+		return nil, err
+	}
 	costs := x.service.Engine
 	if costs == nil {
 		return x.placeWithoutCosts(views)
@@ -98,11 +102,13 @@
 		return nil, err
 	}
 	p := &placement{s: x.s, id: uint64(x.s.nextID.Add(1)), plan: plan, main: views[plan.Main].Upstream}
+	x.s.limits.Sent(limitKey(p.main.ID), now)
 	keys := []uint64{engines[plan.Main].Key}
 	x.helpers, x.placedAt = nil, now
 	for _, i := range plan.Helpers {
 		x.helpers = append(x.helpers, views[i].ID)
 		p.helpers = append(p.helpers, Helper{Address: views[i].Address})
+		x.s.limits.SentPart(limitKey(views[i].ID), now)
 		keys = append(keys, engines[i].Key)
 	}
 	x.predictedFirst = max(x.predictedFirst, plan.First)
@@ -145,6 +151,7 @@
 		v, _ := fleet.Choose(views, x.s.options.FailureDomain, nil, rng)
 		return v
 	})
+	x.s.limits.Sent(limitKey(chosen.ID), boottime.Now())
 	p := &placement{s: x.s, id: uint64(x.s.nextID.Add(1)), main: chosen.Upstream}
 	p.plan.First = float64(x.route.Goal / time.Millisecond)
 	return p, nil
@@ -189,7 +196,7 @@
 		key := EngineKey(v.ID)
 		e := place.Engine{
 			Key: key, FailureRate: v.FailureRate, Avoided: v.Avoided,
-			Local: v.FailureDomain == x.s.options.FailureDomain, Load: loads[key],
+			Local: v.FailureDomain == x.s.options.FailureDomain, Load: loads[key], Limited: x.s.limits.Limited(limitKey(v.ID)), TakesNoParts: !x.s.limits.TakesPart(limitKey(v.ID), now),
 		}
 		// The groups of a failure domain divide its engines among them.
 		e.Shared = groups > 0 && (!e.Local || local%groups != group)
--- a/relay/server.go
+++ b/relay/server.go
@@ -21,9 +21,11 @@
 
 // Peers announces changes of the streams of this host to the other hosts.
 type Peers interface {
-	// StreamPlaced is called right after a stream was placed.
+	// StreamPlaced is called right after a stream was placed, or a request was sent to an
+	// upstream that names the rate that it takes.
 	StreamPlaced()
-	// StreamProgressed is called after the first event and after the end of a stream.
+	// StreamProgressed is called after the first event and after the end of a stream, and
+	// when an upstream names another rate.
 	StreamProgressed()
 	// Hosts returns the number of recently active hosts, including this one.
 	Hosts() int
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -30,7 +30,7 @@
 			return
 		}
 		if errors.Is(err, errNotPlaced) {
-			if x.awaitResume(err) {
+			if x.awaitLimit(err) || x.awaitResume(err) {
 				continue
 			}
 			x.refuse(err)
@@ -65,7 +65,7 @@
 		return false
 	}
 	switch code.Of(reason) {
-	case code.NoCapacity, code.UpstreamUnavailable, code.ConfigUnconfirmed, code.RetryBudgetSpent,
+	case code.NoCapacity, code.UpstreamLimit, code.UpstreamUnavailable, code.ConfigUnconfirmed, code.RetryBudgetSpent,
 		code.UpstreamLost, code.UpstreamSilent, code.AnswerIncomplete:
 	default:
 		return false // waiting doesn't help
