--- a/relay/limits.go
+++ b/relay/limits.go
@@ -78,3 +78,23 @@
 	jitter := withRand(s, func(rng *rand.Rand) int64 { return rng.Int64N(int64(retryAfterMin)) })
 	return (limited.wait + time.Duration(jitter)).Round(time.Millisecond)
 }
+
+// LimitEntry is the form in dumps of an upstream that names a rate.
+type LimitEntry struct {
+	Upstream  string        `json:"upstream"`
+	PerSecond float64       `json:"per_second"`
+	Requests  int           `json:"requests"` // of all hosts in the last four seconds, as far as known
+	Wait      time.Duration `json:"wait_ns"`  // until it takes another one
+}
+
+// Limits returns the upstreams that name a rate, for dumps.
+func (s *Server) Limits(now time.Duration) []LimitEntry {
+	list := []LimitEntry{}
+	for _, id := range s.upstreams.IDs() {
+		key := limitKey(id)
+		if rate, requests := s.limits.Rate(key, now); rate.Limited {
+			list = append(list, LimitEntry{Upstream: id, PerSecond: rate.PerSecond, Requests: requests, Wait: s.limits.Wait(key, now)})
+		}
+	}
+	return list
+}
--- a/throttle/book.go
+++ b/throttle/book.go
@@ -124,6 +124,14 @@
 	return append(times[max(len(times)-maxSends+1, 0):], now)
 }
 
+// Rate returns what an upstream names, and the requests of all hosts to it within the
+// window, as far as known.
+func (b *Book) Rate(key uint32, now time.Duration) (rate Rate, requests int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.rates[key], len(b.all(key, now).requests)
+}
+
 // Limited reports whether an upstream names a rate.
 func (b *Book) Limited(key uint32) bool {
 	b.mu.Lock()
