relay: a stream without a frame that ends before its first event is broken off

What a caller could see: an upstream that sends the head of a stream, crashes, and whose connection ends cleanly gave 200 and an empty, complete stream. Cause: the end of the connection was taken for the end of the stream although no event had come. Such an attempt counts as lost now: it is retried where it may be, cut otherwise, and is evidence of a crash.

Ruled out: bodies with a length or chunks, whose early end net/http reports.

--- a/relay/stream.go
+++ b/relay/stream.go
@@ -151,6 +151,9 @@
 	for {
 		raw, id, err := reader.next()
 		if errors.Is(err, io.EOF) {
+			if begun == 0 && a.unframed() {
+				return a.connectionError(errNoEvent)
+			}
 			if !recorded && begun > 0 {
 				x.recordStart(begun)
 			}
@@ -247,6 +250,10 @@
 // errNotPlaced is returned if no engine was found for a stream.
 var errNotPlaced = errors.New("stream not placed on an engine")
 
+// errNoEvent is returned if the connection of an upstream ends without a framed end of the
+// answer and without an event. A crashed upstream closes its connections as well.
+var errNoEvent = errors.New("connection ended before the first event")
+
 var errEventTooLong = errors.New("event of the stream exceeds the size limit")
 
 // eventReader splits a stream into its events.
