throttle: hosts don't announce what others have told them

Each host announced every limit it knew, also those it had from others, with each stream, so announcements grew with the upstreams times the hosts. Now a host announces what upstreams named to itself in the last four seconds, and its own requests. TestWhatPeersSaidIsNotAnnouncedAgain; the three earlier tests of the spread still pass.

--- a/throttle/book.go
+++ b/throttle/book.go
@@ -58,6 +58,7 @@
 type Book struct {
 	mu    sync.Mutex
 	rates map[uint32]Rate
+	heard map[uint32]time.Duration    // latest answer to this host that named a rate, or no longer did
 	own   map[uint32]sends            // requests of this host, by time
 	peers map[uint32]map[string]sends // requests of others to upstreams with a limit
 
@@ -66,7 +67,7 @@
 
 // NewBook returns an empty book.
 func NewBook() *Book {
-	return &Book{rates: map[uint32]Rate{}, own: map[uint32]sends{}, peers: map[uint32]map[string]sends{}}
+	return &Book{rates: map[uint32]Rate{}, heard: map[uint32]time.Duration{}, own: map[uint32]sends{}, peers: map[uint32]map[string]sends{}}
 }
 
 // Named records the rate in an answer of an upstream, or that it names none. It reports
@@ -74,12 +75,15 @@
 func (b *Book) Named(key uint32, rate Rate) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if rate.Limited || b.rates[key].Limited {
+		b.heard[key] = rate.NamedAt
+	}
 	return b.named(key, rate)
 }
 
 func (b *Book) named(key uint32, rate Rate) bool {
-	before, known := b.rates[key]
-	if rate.NamedAt < before.NamedAt || !known && !rate.Limited {
+	before := b.rates[key]
+	if rate.NamedAt < before.NamedAt || !before.Limited && !rate.Limited {
 		return false
 	}
 	b.rates[key] = rate
@@ -192,15 +196,17 @@
 	return max(int(math.Min(perSecond*window.Seconds(), maxSends*maxSends)), 1)
 }
 
-// Uses returns what other hosts should know: the upstreams that name a rate, or did so
-// until lately, with the requests of this host.
+// Uses returns what other hosts should know: what upstreams have named to this host
+// within the window, and its requests to those that name a rate. What others have said is
+// not repeated: it would grow with the number of upstreams for each host.
 func (b *Book) Uses(now time.Duration) []Use {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var uses []Use
 	for key, rate := range b.rates {
 		own := b.own[key].recent(now)
-		fresh := now-rate.NamedAt < window
+		at, heard := b.heard[key]
+		fresh := heard && now-at < window
 		if !fresh && (!rate.Limited || own.empty()) {
 			continue
 		}
@@ -239,6 +245,7 @@
 		maps.DeleteFunc(peers, func(_ string, s sends) bool { return s.recent(now).empty() })
 		return len(peers) == 0
 	})
+	maps.DeleteFunc(b.heard, func(_ uint32, at time.Duration) bool { return now-at >= window })
 	maps.DeleteFunc(b.rates, func(_ uint32, rate Rate) bool { return now-rate.NamedAt > rateMemory })
 }
 
--- a/throttle/play_test.go
+++ b/throttle/play_test.go
@@ -196,3 +196,16 @@
 	assert.Equal(t, len(b.rates)+len(b.peers), 0)
 	assert.Equal(t, len(b.own), 1)
 }
+
+// With hundreds of upstreams that name a rate, hosts must not repeat what all of them
+// know.
+func TestWhatPeersSaidIsNotAnnouncedAgain(t *testing.T) {
+	b := NewBook()
+	const now = time.Minute
+	for n := range uint32(100) {
+		b.SetPeer("host-1", []Use{{Key: n, Rate: Rate{Limited: true, PerSecond: 1, NamedAt: now}, Sent: []time.Duration{now}}}, now)
+	}
+	assert.Equal(t, len(b.Uses(now)), 0)
+	b.Sent(7, now)
+	assert.Equal(t, len(b.Uses(now)), 1)
+}
