strike: crashes are called crashes

Renames and two small functions after a reading of the diff as a newcomer: what was called a moment is the crash, or the crashes that count as one. Behaviour is unchanged; the plays of the package pass.

--- a/relay/placement.go
+++ b/relay/placement.go
@@ -196,7 +196,8 @@
 		key := EngineKey(v.ID)
 		e := place.Engine{
 			Key: key, FailureRate: v.FailureRate, Avoided: v.Avoided,
-			Local: v.FailureDomain == x.s.options.FailureDomain, Load: loads[key], Limited: x.s.limits.Limited(limitKey(v.ID)), TakesNoParts: !x.s.limits.TakesPart(limitKey(v.ID), now),
+			Local: v.FailureDomain == x.s.options.FailureDomain, Load: loads[key],
+			Limited: x.s.limits.Limited(limitKey(v.ID)), TakesNoParts: !x.s.limits.TakesPart(limitKey(v.ID), now),
 		}
 		// The groups of a failure domain divide its engines among them.
 		e.Shared = groups > 0 && (!e.Local || local%groups != group)
--- a/strike/quarantine.go
+++ b/strike/quarantine.go
@@ -35,9 +35,9 @@
 	// be the first on engines that were all down. Requests with other parts get settleTime
 	// to begin as well.
 	outageTime = 2 * time.Second
-	// sameMoment is the time within which crashes count as one: engines that are killed
+	// simultaneous is the time within which crashes count as one: engines that are killed
 	// together crash together, and each holds other requests.
-	sameMoment = 50 * time.Millisecond
+	simultaneous = 50 * time.Millisecond
 )
 
 // Quarantine is a combination of identifiers. Requests that hold all of them are
@@ -110,7 +110,7 @@
 	id       uint64
 	whole    bool                    // a whole request, not a part
 	prompt   bool                    // of a request with a prompt
-	moments  map[int]bool            // numbers of the crashes
+	crashes  map[int]bool            // numbers of the crashes
 	contents map[uint64]map[int]bool // crashes by request
 	common   []uint64                // identifiers in all of its losses
 	first    time.Duration
@@ -139,13 +139,7 @@
 	explained := map[int]bool{}
 	r.awaitsStart = false
 	for _, c := range r.candidates() {
-		unexplained := 0
-		for moment := range c.moments {
-			if !explained[moment] {
-				unexplained++
-			}
-		}
-		if !c.whole && unexplained < unexplainedCrashes {
+		if !c.whole && c.countOthers(explained) < unexplainedCrashes {
 			continue
 		}
 		if c.prompt && r.latestStart <= c.othersStarted {
@@ -160,11 +154,11 @@
 			checkAgain(settled)
 			continue
 		}
-		for moment := range c.moments {
-			explained[moment] = explained[moment] || !c.whole
+		for crash := range c.crashes {
+			explained[crash] = explained[crash] || !c.whole
 		}
 		q := Quarantine{
-			ID: c.id, Common: c.common, Crashes: len(c.moments), Contents: len(c.contents), First: c.first, Last: c.last,
+			ID: c.id, Common: c.common, Crashes: len(c.crashes), Contents: len(c.contents), First: c.first, Last: c.last,
 			Until: c.last + r.holdTime(c),
 		}
 		if now < q.Until {
@@ -189,7 +183,7 @@
 
 // candidates returns the identifiers with enough crashes, those with the fewest first.
 func (r *PartRegistry) candidates() []*candidate {
-	moments := r.moments()
+	numbers := r.crashNumbers()
 	byID := map[uint64]*candidate{}
 	for i := range r.losses {
 		loss := &r.losses[i]
@@ -199,22 +193,22 @@
 			}
 			c, ok := byID[id]
 			if !ok {
-				c = &candidate{id: id, moments: map[int]bool{}, contents: map[uint64]map[int]bool{}, common: commonOf(id, loss), first: loss.At}
+				c = &candidate{id: id, crashes: map[int]bool{}, contents: map[uint64]map[int]bool{}, common: commonOf(id, loss), first: loss.At}
 				byID[id] = c
 			}
-			c.add(loss, moments[i])
+			c.add(loss, numbers[i])
 		}
 	}
-	list := slices.DeleteFunc(slices.Collect(maps.Values(byID)), func(c *candidate) bool { return !r.enough(c, moments) })
+	list := slices.DeleteFunc(slices.Collect(maps.Values(byID)), func(c *candidate) bool { return !r.enough(c, numbers) })
 	slices.SortFunc(list, func(a, b *candidate) int {
-		return cmp.Or(cmp.Compare(len(a.moments), len(b.moments)), cmp.Compare(a.id, b.id))
+		return cmp.Or(cmp.Compare(len(a.crashes), len(b.crashes)), cmp.Compare(a.id, b.id))
 	})
 	return list
 }
 
-func (c *candidate) add(loss *Loss, moment int) {
-	if !c.moments[moment] {
-		c.moments[moment] = true
+func (c *candidate) add(loss *Loss, crash int) {
+	if !c.crashes[crash] {
+		c.crashes[crash] = true
 		c.times = append(c.times, loss.At)
 	}
 	c.whole = c.whole || c.id == loss.Request.Content
@@ -222,14 +216,14 @@
 	if c.contents[loss.Request.Content] == nil {
 		c.contents[loss.Request.Content] = map[int]bool{}
 	}
-	c.contents[loss.Request.Content][moment] = true
+	c.contents[loss.Request.Content][crash] = true
 	c.common = slices.DeleteFunc(c.common, func(id uint64) bool { return id != loss.Request.Content && !slices.Contains(loss.Request.Parts, id) })
 	c.last = loss.At
 }
 
 // enough reports whether an identifier was in enough crashes, and sets what else is
 // needed to refuse it.
-func (r *PartRegistry) enough(c *candidate, moments []int) bool {
+func (r *PartRegistry) enough(c *candidate, numbers []int) bool {
 	sound := r.wasSound(c.id)
 	switch {
 	case sound:
@@ -251,21 +245,33 @@
 	all := map[int]bool{}
 	for i := range r.losses {
 		if r.losses[i].At >= c.first && r.losses[i].At <= c.last {
-			all[moments[i]] = true
+			all[numbers[i]] = true
 		}
 	}
-	return float64(len(c.moments)) >= shareIfSound*float64(len(all))
+	return float64(len(c.crashes)) >= shareIfSound*float64(len(all))
 }
 
+// countCrashes returns the number of crashes that count.
 func (c *candidate) countCrashes() int {
 	if c.whole {
-		return len(c.moments)
+		return len(c.crashes)
 	}
 	count := 0
-	for _, moments := range c.contents {
-		count += min(len(moments), crashesOfContent)
+	for _, crashes := range c.contents {
+		count += min(len(crashes), crashesOfContent)
+	}
+	return min(count, len(c.crashes))
+}
+
+// countOthers returns the number of crashes that are not in a set.
+func (c *candidate) countOthers(set map[int]bool) int {
+	count := 0
+	for crash := range c.crashes {
+		if !set[crash] {
+			count++
+		}
 	}
-	return min(count, len(c.moments))
+	return count
 }
 
 // wasSound reports whether a request with the identifier is known to have run.
@@ -284,8 +290,9 @@
 	return slices.Compact(slices.Sorted(slices.Values(loss.Request.Parts)))
 }
 
-// moments numbers the crashes of the losses.
-func (r *PartRegistry) moments() []int {
+// crashNumbers returns the number of the crash of each loss. Simultaneous crashes have
+// the same one.
+func (r *PartRegistry) crashNumbers() []int {
 	numbers := make([]int, len(r.losses))
 	lastOf := map[uint32]int{} // index of the latest loss on an engine
 	last, lastAt := -1, time.Duration(0)
@@ -295,7 +302,7 @@
 		switch {
 		case known && loss.At-r.losses[previous].At < sameCrash:
 			numbers[i] = numbers[previous]
-		case last >= 0 && loss.At-lastAt < sameMoment:
+		case last >= 0 && loss.At-lastAt < simultaneous:
 			numbers[i] = last
 		default:
 			last, lastAt = last+1, loss.At
