Requests that wait for a limited upstream don't meet at it

Where all upstreams of a service are at their limits, requests of all hosts wait for the first one that is free. All woke at that moment, and at hundreds of hosts each took it before it had heard of the others: a play of 295 hosts gave one upstream 107 requests in four seconds where 14 are allowed. Placing also left only the free upstreams to draw from, so hosts of all groups drew the same ones, and the requests of four seconds came in one burst.

Upstreams at their limit are drawn as others are and left out afterwards, so a group keeps to its own.

--- a/place/decide.go
+++ b/place/decide.go
@@ -19,6 +19,7 @@
 	// Limited tells that the engine names the rate of requests that it takes. It keeps no
 	// part of a prompt for another engine, as that needs requests all the time.
 	Limited      bool
+	AtLimit      bool  // it takes no request now
 	TakesNoParts bool  // it has prefilled too many parts for others lately
 	Load         *Load // nil if the engine is idle
 }
@@ -66,19 +67,17 @@
 // that don't hear of each other's streams at once would all choose the one that looks
 // best at the moment. So a short prompt is placed on an engine that only the hosts of
 // the own group prefer, or on one of a few others drawn at random. Longer prompts are
-// rare and need the choice among all.
+// rare and need the choice among all. Engines at their limit are drawn like others: the
+// few that are free would be the choice of all hosts again.
 func candidates(engines []Engine, r Request, rng *rand.Rand) []int {
 	order := rng.Perm(len(engines))
-	if r.Prompt >= minSearchPrompt {
-		return order
-	}
 	drawn := 0
 	return slices.DeleteFunc(order, func(i int) bool {
-		if !engines[i].Shared || engines[i].Avoided {
-			return false
+		e := &engines[i]
+		if r.Prompt < minSearchPrompt && e.Shared && !e.Avoided {
+			drawn++
 		}
-		drawn++
-		return drawn > maxDrawn
+		return drawn > maxDrawn && e.Shared && !e.Avoided || e.AtLimit
 	})
 }
 
--- a/relay/limits.go
+++ b/relay/limits.go
@@ -41,23 +41,32 @@
 
 func (e *limitError) Unwrap() error { return e.error }
 
+func newLimitError(upstreams int, wait time.Duration) error {
+	return &limitError{
+		code.New(code.UpstreamLimit, "none of %d upstreams takes a request by the rates that they name, the first one does in %v", upstreams, wait), wait,
+	}
+}
+
 // withinLimits returns the upstreams that take a request now. It fails if none does
 // because of the rates that they name.
 func (s *Server) withinLimits(views []fleet.View, now time.Duration) ([]fleet.View, error) {
-	shortest := time.Duration(-1)
-	free := slices.DeleteFunc(slices.Clone(views), func(v fleet.View) bool {
-		wait := s.limits.Wait(limitKey(v.ID), now)
-		if wait > 0 && (shortest < 0 || wait < shortest) {
-			shortest = wait
-		}
-		return wait > 0
-	})
-	if len(free) > 0 || len(views) == 0 {
-		return free, nil
+	free := slices.DeleteFunc(slices.Clone(views), func(v fleet.View) bool { return s.limits.Wait(limitKey(v.ID), now) > 0 })
+	if wait, limited := s.shortestWait(views, now); len(free) == 0 && limited {
+		return nil, newLimitError(len(views), wait)
 	}
-	return nil, &limitError{
-		code.New(code.UpstreamLimit, "%d upstreams are at the rate that they name, the first is free in %v", len(views), shortest), shortest,
+	return free, nil
+}
+
+// shortestWait returns the time until the first of the upstreams that are at the rate that
+// they name takes a request, and whether there is such an upstream.
+func (s *Server) shortestWait(views []fleet.View, now time.Duration) (shortest time.Duration, limited bool) {
+	for i := range views {
+		wait := s.limits.Wait(limitKey(views[i].ID), now)
+		if wait > 0 && (!limited || wait < shortest) {
+			shortest, limited = wait, true
+		}
 	}
+	return shortest, limited
 }
 
 // awaitLimit waits until an upstream takes another request, if the answer can still be in
@@ -68,8 +77,15 @@
 	if !errors.As(reason, &limited) {
 		return false
 	}
-	left := x.arrived + x.route.Goal - boottime.Now()
-	return limited.wait < left && limited.wait < x.timeLeft()-minAttemptTime && ctxtime.Sleep(x.ctx, limited.wait)
+	left := min(x.arrived+x.route.Goal-boottime.Now(), x.timeLeft()-minAttemptTime)
+	delay := withRand(x.s, func(rng *rand.Rand) time.Duration {
+		d, ok := throttle.Delay(limited.wait, left, rng)
+		if !ok {
+			return -1
+		}
+		return d
+	})
+	return delay >= 0 && ctxtime.Sleep(x.ctx, delay)
 }
 
 // retryAfterLimit returns the delay after which a caller should retry: when an upstream
--- a/relay/placement.go
+++ b/relay/placement.go
@@ -75,13 +75,9 @@
 func (x *exchange) placeAmong(views []fleet.View, now time.Duration) (*placement, error) {
 	x.s.placing.Lock()
 	defer x.s.placing.Unlock()
-	views, err := x.s.withinLimits(views, now)
-	if err != nil {
-		return nil, err
-	}
 	costs := x.service.Engine
 	if costs == nil {
-		return x.placeWithoutCosts(views)
+		return x.placeWithoutCosts(views, now)
 	}
 	since := x.arrived
 	if x.answerStarted {
@@ -93,7 +89,10 @@
 	plan, ok := place.Decide(costs, engines, request, rand.New(rand.NewPCG(seed, 0)))
 	if !ok && x.answerStarted {
 		// The caller has part of the answer, so the stream waits in an engine's queue.
-		return x.placeWithoutCosts(views)
+		return x.placeWithoutCosts(views, now)
+	}
+	if wait, limited := x.s.shortestWait(views, now); !ok && limited {
+		return nil, newLimitError(len(views), wait)
 	}
 	if !ok {
 		return nil, code.New(code.NoCapacity, "none of %d engines has capacity for a prompt of %d tokens", len(engines), request.Prompt)
@@ -146,12 +145,16 @@
 
 // placeWithoutCosts selects the upstream of a stream whose service publishes no
 // costs, as for a plain service.
-func (x *exchange) placeWithoutCosts(views []fleet.View) (*placement, error) {
+func (x *exchange) placeWithoutCosts(views []fleet.View, now time.Duration) (*placement, error) {
+	views, err := x.s.withinLimits(views, now)
+	if err != nil {
+		return nil, err
+	}
 	chosen := withRand(x.s, func(rng *rand.Rand) fleet.View {
 		v, _ := fleet.Choose(views, x.s.options.FailureDomain, nil, rng)
 		return v
 	})
-	x.s.limits.Sent(limitKey(chosen.ID), boottime.Now())
+	x.s.limits.Sent(limitKey(chosen.ID), now)
 	p := &placement{s: x.s, id: uint64(x.s.nextID.Add(1)), main: chosen.Upstream}
 	p.plan.First = float64(x.route.Goal / time.Millisecond)
 	return p, nil
@@ -197,7 +200,9 @@
 		e := place.Engine{
 			Key: key, FailureRate: v.FailureRate, Avoided: v.Avoided,
 			Local: v.FailureDomain == x.s.options.FailureDomain, Load: loads[key],
-			Limited: x.s.limits.Limited(limitKey(v.ID)), TakesNoParts: !x.s.limits.TakesPart(limitKey(v.ID), now),
+		}
+		if limit := limitKey(v.ID); x.s.limits.Limited(limit) {
+			e.Limited, e.AtLimit, e.TakesNoParts = true, x.s.limits.Wait(limit, now) > 0, !x.s.limits.TakesPart(limit, now)
 		}
 		// The groups of a failure domain divide its engines among them.
 		e.Shared = groups > 0 && (!e.Local || local%groups != group)
--- a/throttle/play_test.go
+++ b/throttle/play_test.go
@@ -21,6 +21,7 @@
 	rates    []float64 // by upstream
 	late     time.Duration
 	lost     float64 // share of the announcements
+	inGroups bool    // hosts of a group hear of each other at once
 	messages []message
 	arrivals [][]arrival // by upstream
 	toldAt   []map[int]time.Duration
@@ -49,30 +50,40 @@
 }
 
 func (p *play) announce(from int, late time.Duration) {
+	uses := p.hosts[from].Uses(p.now)
 	for to := range p.hosts {
-		if to != from && p.rng.Float64() >= p.lost {
-			p.messages = append(p.messages, message{p.now + time.Duration(p.rng.Int64N(int64(late)+1)), from, to, p.hosts[from].Uses(p.now)})
+		if to == from || p.rng.Float64() < p.lost {
+			continue
+		}
+		delay := late
+		if p.inGroups && groupOf(to) == groupOf(from) {
+			delay = 2 * time.Millisecond
 		}
+		p.messages = append(p.messages, message{p.now + time.Duration(p.rng.Int64N(int64(delay)+1)), from, to, uses})
 	}
 }
 
 // send sends a request of a host to an upstream that takes one, as far as it knows.
 func (p *play) send(host int) bool {
 	for _, upstream := range p.rng.Perm(len(p.rates)) {
-		if !p.hosts[host].Take(uint32(upstream), p.now) {
-			continue
-		}
-		p.arrivals[upstream] = append(p.arrivals[upstream], arrival{p.now, host})
-		p.hosts[host].Named(uint32(upstream), Rate{Limited: true, PerSecond: p.rates[upstream], NamedAt: p.now})
-		if _, told := p.toldAt[upstream][host]; !told {
-			p.toldAt[upstream][host] = p.now
+		if p.hosts[host].Wait(uint32(upstream), p.now) == 0 {
+			p.arrive(upstream, host)
+			return true
 		}
-		p.announce(host, p.late)
-		return true
 	}
 	return false
 }
 
+func (p *play) arrive(upstream, host int) {
+	p.hosts[host].Take(uint32(upstream), p.now)
+	p.arrivals[upstream] = append(p.arrivals[upstream], arrival{p.now, host})
+	p.hosts[host].Named(uint32(upstream), Rate{Limited: true, PerSecond: p.rates[upstream], NamedAt: p.now})
+	if _, told := p.toldAt[upstream][host]; !told {
+		p.toldAt[upstream][host] = p.now
+	}
+	p.announce(host, p.late)
+}
+
 func (p *play) step() {
 	p.now += time.Millisecond
 	due := p.messages
@@ -86,12 +97,100 @@
 	}
 }
 
+// waiter is a request that waits for an upstream.
+type waiter struct {
+	host     int
+	at       time.Duration // of the next try
+	deadline time.Duration
+}
+
+// groupOf returns the group of a host or an upstream. Hosts hear of each other at once
+// within a group, and prefer the upstreams of their group.
+func groupOf(n int) int {
+	return n % 18
+}
+
+// sendInGroups sends a request as placing does: to an upstream of the group of its host,
+// or to one of three others drawn at random, if one of these is free.
+func (p *play) sendInGroups(host int) bool {
+	const drawn = 3
+	var own, others []int
+	for _, upstream := range p.rng.Perm(len(p.rates)) {
+		switch {
+		case groupOf(upstream) == groupOf(host):
+			own = append(own, upstream)
+		case len(others) < drawn:
+			others = append(others, upstream)
+		}
+	}
+	free := slices.DeleteFunc(append(own, others...), func(upstream int) bool {
+		return p.hosts[host].Wait(uint32(upstream), p.now) > 0
+	})
+	if len(free) == 0 {
+		return false
+	}
+	p.arrive(free[0], host)
+	return true
+}
+
+// shortestWait returns the time until the first upstream is free, as a host knows it.
+func (p *play) shortestWait(host int) time.Duration {
+	shortest := time.Hour
+	for upstream := range p.rates {
+		shortest = min(shortest, p.hosts[host].Wait(uint32(upstream), p.now))
+	}
+	return shortest
+}
+
+// Requests of hundreds of hosts that wait for the first upstream that is free must not all
+// get it.
+func TestWaitingRequestsDoNotMeetAtOneUpstream(t *testing.T) {
+	const goal = 400 * time.Millisecond
+	rates := make([]float64, 60)
+	for n := range rates {
+		rates[n] = 0.5 + float64(n%5)/2
+	}
+	for seed := range uint64(2) {
+		p := newPlay(seed, 295, rates...)
+		p.late, p.inGroups = 200*time.Millisecond, true
+		var waiting []waiter
+		for range 10000 {
+			p.step()
+			if p.rng.Float64() < 0.18 { // 180 requests a second, the upstreams take 90
+				waiting = append(waiting, waiter{p.rng.IntN(len(p.hosts)), p.now, p.now + goal})
+			}
+			var later []waiter
+			for _, w := range waiting {
+				if w.at > p.now {
+					later = append(later, w)
+					continue
+				}
+				if p.sendInGroups(w.host) {
+					continue
+				}
+				if delay, ok := Delay(p.shortestWait(w.host), w.deadline-p.now, p.rng); ok {
+					later = append(later, waiter{w.host, p.now + delay, w.deadline})
+				}
+			}
+			waiting = later
+		}
+		served := 0
+		for upstream, rate := range rates {
+			got := p.most(upstream, time.Minute+4*time.Second, false)
+			assert.Assert(t, float64(got) <= 1.5*rate*4+5, "seed %d: %d requests in 4 s at a rate of %v", seed, got, rate)
+			served += len(p.arrivals[upstream])
+		}
+		t.Logf("seed %d: %d of about 1800 requests were sent", seed, served)
+	}
+}
+
 // most returns the largest number of requests that an upstream got within four seconds
-// after the given time, from hosts that it had told its rate half a second before.
-func (p *play) most(upstream int, after time.Duration) int {
+// after the given time. With told, only those count of hosts that it had told its rate
+// half a second before.
+func (p *play) most(upstream int, after time.Duration, told bool) int {
 	var times []time.Duration
 	for _, a := range p.arrivals[upstream] {
-		if a.at > after && a.at-p.toldAt[upstream][a.host] >= 500*time.Millisecond {
+		if a.at > after && (!told || a.at-p.toldAt[upstream][a.host] >= 500*time.Millisecond) {
 			times = append(times, a.at)
 		}
 	}
@@ -141,7 +240,7 @@
 				}
 				for upstream, rate := range p.rates {
 					allowed := int(1.5*rate*4 + 5)
-					got := p.most(upstream, time.Minute+3*time.Second)
+					got := p.most(upstream, time.Minute+3*time.Second, true)
 					assert.Assert(t, got <= allowed, "seed %d: %d requests in 4 s at a rate of %v, %d are allowed", seed, got, rate, allowed)
 					served := 0
 					for _, a := range p.arrivals[upstream] {
