--- a/throttle/book.go
+++ b/throttle/book.go
@@ -13,10 +13,6 @@
 	// window is the time over which requests are counted. A limit below one a second
 	// still allows a request in each window, whose answer tells whether the limit holds.
 	window = 4 * time.Second
-	// burstWindow is the time over which they are counted as well, so that they don't come
-	// in bursts, at the end of each of which hosts with late news send too many.
-	burstWindow = time.Second
-	burstFactor = 2 // of the rate
 	// maxSpread is the longest random wait of a request for an upstream that is free again.
 	// Hosts in different groups hear of each other's requests after about that time.
 	maxSpread = 100 * time.Millisecond
@@ -164,11 +160,12 @@
 		return 0
 	}
 	sent := b.all(key, now).requests
+	excess := len(sent) - allowed(rate.PerSecond)
+	if excess < 0 {
+		return 0
+	}
 	slices.Sort(sent)
-	return max(
-		waitFor(sent, window, allowed(rate.PerSecond*window.Seconds()), now),
-		waitFor(sent, burstWindow, allowed(math.Ceil(burstFactor*rate.PerSecond*burstWindow.Seconds())), now),
-	)
+	return max(sent[excess]+window-now, 0)
 }
 
 // TakesPart reports whether an upstream takes a part of a prompt for another one now.
@@ -179,7 +176,7 @@
 	if !rate.Limited {
 		return true
 	}
-	return len(b.all(key, now).parts) < allowed(partShare*rate.PerSecond*window.Seconds())+extraParts
+	return len(b.all(key, now).parts) < allowed(partShare*rate.PerSecond)+extraParts
 }
 
 // all returns what all hosts sent to an upstream within the window, as far as known.
@@ -193,19 +190,9 @@
 	return all
 }
 
-// waitFor returns the time until fewer than limit of the given times, which are sorted,
-// are within a span.
-func waitFor(times []time.Duration, span time.Duration, limit int, now time.Duration) time.Duration {
-	excess := len(times) - limit
-	if excess < 0 {
-		return 0
-	}
-	return max(times[excess]+span-now, 0)
-}
-
-// allowed returns the whole number of requests of an exact one.
-func allowed(requests float64) int {
-	return max(int(math.Min(requests, maxSends*maxSends)), 1)
+// allowed returns the requests that an upstream takes in a window.
+func allowed(perSecond float64) int {
+	return max(int(math.Min(perSecond*window.Seconds(), maxSends*maxSends)), 1)
 }
 
 // Delay returns how long a request waits for an upstream that is free after the given
