Failing test: streams of other groups are forgotten when two refreshes are lost

Cause: what a relay tells of other groups is refreshed every 1.5 s and forgotten after 4 s, so two lost refreshes in a row are enough; the members of that group are forgotten after 5 s counted from their own last heartbeat, before the third refresh.

--- a/peering/model_test.go
+++ b/peering/model_test.go
@@ -32,10 +32,11 @@
 	list    []*modelHost
 	pending []packet
 	loss    float64
-	maxLate time.Duration // of a datagram
-	down    bool          // the source answers nobody
-	readers int           // hosts of a group that always read the source
-	wait    time.Duration // between two reads of a host
+	cut     func(from, to netip.Addr) bool // loses all datagrams between two hosts
+	maxLate time.Duration                  // of a datagram
+	down    bool                           // the source answers nobody
+	readers int                            // hosts of a group that always read the source
+	wait    time.Duration                  // between two reads of a host
 
 	changes []time.Duration // time of each change of the source; its revision is the index plus one
 	sent    int
@@ -107,7 +108,7 @@
 func (m *fleetModel) send(from, to netip.Addr, data []byte) {
 	m.sent++
 	m.bytes += len(data)
-	if m.rng.Float64() < m.loss {
+	if m.rng.Float64() < m.loss || m.cut != nil && m.cut(from, to) {
 		return
 	}
 	late := time.Duration(m.rng.Int64N(int64(m.maxLate) + 1))
@@ -398,6 +399,35 @@
 	}
 }
 
+// Groups that lose two refreshes of each other in a row must not forget the streams in
+// between: they would place others at the same engines.
+func TestStreamsStayKnownWhileRefreshesAreLost(t *testing.T) {
+	for phase := time.Duration(0); phase < 1500*time.Millisecond; phase += 250 * time.Millisecond {
+		t.Run(phase.String(), func(t *testing.T) {
+			m := newFleetModel(6, 60)
+			m.run(6 * time.Second)
+			const streams = 12
+			for i, h := range m.list[:streams] {
+				h.placeStream(uint64(i+1), uint64(i+100))
+			}
+			m.run(time.Second + phase)
+			m.cut = func(from, to netip.Addr) bool {
+				return m.hosts[from].node.members.ownGroup() != m.hosts[to].node.members.ownGroup()
+			}
+			m.run(2400 * time.Millisecond)
+			m.cut = nil
+			for range 200 {
+				m.step()
+				for _, h := range m.list {
+					for i := range streams {
+						assert.Equal(t, h.known(uint64(i+100)), 1, "%v: stream %d at host %v", m.now, i, h.addr)
+					}
+				}
+			}
+		})
+	}
+}
+
 // The hosts of a large fleet that start at the same moment must know all streams
 // within a few seconds.
 func TestLargeFleetJoinsWithinSeconds(t *testing.T) {
