peering: two lost refreshes between groups forget neither streams nor members

Change: streams of a silent peer count for 5 s instead of 4 s, a member for 7 s instead of 5 s; a silent host is still relayed for 2.5 s. Conclusion: fixed; an ended stream may be counted up to 5 s, by the losses.

--- a/peering/bundle.go
+++ b/peering/bundle.go
@@ -1,6 +1,7 @@
 package peering
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -85,9 +86,10 @@
 // news returns what changed in the group since the last call.
 func (o *outbox) news(now time.Duration) []*loadv1.HostNews {
 	var list []*loadv1.HostNews
-	for host, s := range o.sources {
+	for _, host := range slices.SortedFunc(maps.Keys(o.sources), netip.Addr.Compare) {
+		s := o.sources[host]
 		switch {
-		case now-s.heardAt > memberTimeout/2:
+		case now-s.heardAt > sourceTimeout:
 			// Without news, the other groups count the host as gone.
 		case !s.refreshed || now-s.refreshedAt >= refreshInterval:
 			list = append(list, s.completeNews(host, now))
--- a/peering/groups.go
+++ b/peering/groups.go
@@ -105,6 +105,7 @@
 
 func (m *members) divide(now time.Duration) *groups {
 	live := m.live(now)
+	slices.SortFunc(live, netip.Addr.Compare)
 	m.countGroups(live)
 	g := &groups{other: map[groupID][]netip.Addr{}, madeAt: now, hosts: len(m.hosts)}
 	for _, host := range live {
@@ -115,7 +116,6 @@
 		id := m.groupOf(host, m.hosts[host].domain)
 		g.other[id] = append(g.other[id], host)
 	}
-	slices.SortFunc(g.own, netip.Addr.Compare)
 	return g
 }
 
--- a/peering/members.go
+++ b/peering/members.go
@@ -9,8 +9,11 @@
 
 const (
 	// memberTimeout is the time after the last news of a host for which it counts as
-	// a member: several heartbeat intervals.
-	memberTimeout = 5 * time.Second
+	// a member. News from another group is as old as the last heartbeat that the relay
+	// got, and two refreshes in a row may be lost.
+	memberTimeout = 2*heartbeatInterval + 3*refreshInterval + 500*time.Millisecond
+	// sourceTimeout is the time after its last datagram for which a host is relayed.
+	sourceTimeout = 2500 * time.Millisecond
 	// relayTimeout is the time after its last datagram for which a host counts as able
 	// to relay: one heartbeat interval and some delay.
 	relayTimeout = 1300 * time.Millisecond
--- a/peering/relaying.go
+++ b/peering/relaying.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	loadv1 "github.com/citronscale/citronscale/api/load/v1"
@@ -22,6 +23,7 @@
 		for _, hosts := range g.other {
 			relays = append(relays, n.members.relayOf(hosts, now))
 		}
+		slices.SortFunc(relays, netip.Addr.Compare)
 	}
 	n.mu.Unlock()
 	for _, b := range bundles(passed, true) {
--- a/place/ledger.go
+++ b/place/ledger.go
@@ -28,9 +28,9 @@
 	receivedAt time.Duration
 }
 
-// peerTimeout is how long an announcement of a peer is used. Peers announce their
-// streams every second, and a stream rarely lasts longer than this.
-const peerTimeout = 4 * time.Second
+// peerTimeout is how long an announcement of a peer is used. It covers the loss of two
+// refreshes in a row between groups of hosts.
+const peerTimeout = 5 * time.Second
 
 // Ledger holds the active streams by the host that placed them.
 type Ledger struct {
