relay: a caller that stops reading is closed after ten seconds

Callers saw nothing; hosts kept the stream, the place at the upstream and the buffered answer of a caller that doesn't read for as long as its connection stayed open. Deadlines of the previous request on the connection are cleared.

--- a/internal/relayd/daemon.go
+++ b/internal/relayd/daemon.go
@@ -119,6 +119,7 @@
 		BufferBytes:   int64(bufferShare * settings.Machine.MemoryMB * megabyte),
 		RetryRatio:    settings.Retries.Ratio, RetrySlack: settings.Retries.Slack,
 		RetryWindow:  settings.retryWindow(),
+		WriteTimeout: writeTimeout,
 		AdmitLeaving: time.Duration(admitShare * float64(settings.gracePeriod())),
 	}, relay.Parts{
 		Dialect: platform.Headers{}, Memory: platform.NewMemory(), Routes: d.routes, Upstreams: d.upstreams, Ledger: d.ledger,
--- a/internal/relayd/listeners.go
+++ b/internal/relayd/listeners.go
@@ -21,6 +21,7 @@
 	// no caller within the published limits is disconnected.
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 75 * time.Second
+	writeTimeout  = 10 * time.Second
 	// maxHeaderBytes is several times the published limit.
 	maxHeaderBytes = 64 << 10
 )
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -164,7 +164,7 @@
 		header.Set("Content-Length", strconv.Itoa(len(answer.body)))
 	}
 	x.w.WriteHeader(answer.status)
-	if _, err := x.w.Write(answer.body); err != nil {
+	if err := x.write(answer.body); err != nil {
 		x.addNote("write the answer: %v", err)
 		x.result = code.Wrap(err, code.CallerGone)
 	}
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -198,7 +198,7 @@
 	}
 	header.Set("Content-Length", strconv.Itoa(len(body)))
 	x.w.WriteHeader(x.status)
-	if _, err := x.w.Write(body); err != nil {
+	if err := x.write(body); err != nil {
 		x.addNote("write the refusal: %v", err)
 	}
 }
--- a/relay/options.go
+++ b/relay/options.go
@@ -21,6 +21,9 @@
 	RetryRatio  float64
 	RetrySlack  float64
 	RetryWindow time.Duration
+	// WriteTimeout is the time after which a caller that takes no bytes of its answer
+	// counts as gone; 0 means never.
+	WriteTimeout time.Duration
 	// AdmitLeaving is how long the server admits new requests after Leave.
 	AdmitLeaving time.Duration
 }
--- a/relay/server.go
+++ b/relay/server.go
@@ -136,6 +136,7 @@
 	defer x.finish()
 	defer x.bodyMemory.Release()
 	defer x.answerMemory.Release()
+	x.clearDeadlines()
 	if _, leaving := s.leavingFor(x.arrived); leaving {
 		w.Header().Set("Connection", "close")
 	}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -175,7 +175,7 @@
 			recorded = true
 			x.recordStart(begun)
 		}
-		if _, err := x.w.Write(raw); err != nil {
+		if err := x.write(raw); err != nil {
 			return code.New(code.CallerGone, "write to the caller: %w", err)
 		}
 		if err := flusher.Flush(); err != nil {
@@ -205,7 +205,7 @@
 	if !x.answerStarted {
 		x.writeStreamHeader(a)
 	}
-	if _, err := x.w.Write(comments); err != nil {
+	if err := x.write(comments); err != nil {
 		return code.New(code.CallerGone, "write to the caller: %w", err)
 	}
 	return nil
