relay: a caller that pauses is not taken for a silent upstream

Callers saw: a stream that they didn't read for a while (1.5 s with the goals of the test) was cut at a sound upstream and resumed at another one, which ran the work again. Cause: the timeout between two events runs on while the host waits for the caller to take one, during which the upstream can't write either. Change: it stops until the event is written; WriteTimeout bounds that.

--- a/relay/stream.go
+++ b/relay/stream.go
@@ -175,6 +175,7 @@
 			recorded = true
 			x.recordStart(begun)
 		}
+		a.timer.Stop() // while the caller doesn't read, the upstream can't write
 		if err := x.write(raw); err != nil {
 			return code.New(code.CallerGone, "write to the caller: %w", err)
 		}
