host: a caller that pauses is not taken for a silent engine

Callers saw: a stream that they didn't read for longer than progress_timeout_ms ended at a sound engine, and was resumed elsewhere or broke off; the engine counted as silent. The progress timeout ran on while Deliver waited for the caller; then the timer and the next frame were both due, and either one was taken. Change: the attempt's machine is told when a delivery is taken, and counts from there.

--- a/attempt/machine.go
+++ b/attempt/machine.go
@@ -173,6 +173,12 @@
 	return []Action{delivery, m.timer()}
 }
 
+// Delivered reports that the caller has taken a delivery. Until then the upstream may
+// have been unable to send, so it is not silent.
+func (m *Machine) Delivered(now time.Time) {
+	m.progressDeadline = now.Add(m.options.ProgressTimeout)
+}
+
 // AttemptFailed reports that an attempt ended without an end marker.
 func (m *Machine) AttemptFailed(now time.Time, attempt ident.Attempt, failure *upstream.Error) []Action {
 	if !m.isCurrent(attempt) {
--- a/host/completion.go
+++ b/host/completion.go
@@ -210,7 +210,9 @@
 	r.measureGap(time.Now(), a.Tokens)
 	if err := r.sink.Deliver(a.Text, a.Tokens); err != nil {
 		r.apply(r.machine.CallerGone(time.Now()))
+		return
 	}
+	r.machine.Delivered(time.Now())
 }
 
 // measureGap records the inter-token latency: the time since the last delivery
