servicehttp: answers that are read count against the buffers of the host

Hosts of citrond: calls to a service whose answers have no end took up to 8 MB each, and several times that while they grew, whatever limits.buffer_bytes says of bodies and answers. Change: the client reads into the host's pool, as the gateway does. A full pool ends the call as one that has run (AnswerIncomplete). Before: TestEndlessAnswersShareTheBuffers without the pool allocates 135 MB for 8 calls, 16 are allowed. Conclusion: fixed while answers are read. A whole answer still waits for its caller, up to the write timeout, without being counted.

--- a/host/clients.go
+++ b/host/clients.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"github.com/citronscale/citronscale/internal/buffer"
 	"github.com/citronscale/citronscale/upstream"
 	"github.com/citronscale/citronscale/upstream/enginehttp"
 	"github.com/citronscale/citronscale/upstream/servicehttp"
@@ -13,10 +14,10 @@
 	services *servicehttp.Client
 }
 
-func newClients() *clients {
+func newClients(buffers *buffer.Pool) *clients {
 	return &clients{
 		engines:  enginehttp.NewClient(enginehttp.Options{}),
-		services: servicehttp.NewClient(servicehttp.Options{}),
+		services: servicehttp.NewClient(servicehttp.Options{Buffers: buffers}),
 	}
 }
 
--- a/host/host.go
+++ b/host/host.go
@@ -71,14 +71,15 @@
 		Host: s.Host.Name, Incarnation: incarnation,
 		PeerAddress: s.Listen.Peers.String(), FailureDomain: s.Host.FailureDomain,
 	}
-	upstreams := newClients()
+	pool := buffer.NewPool(s.Limits.BufferBytes)
+	upstreams := newClients(pool)
 	h := &Host{
 		settings:    s,
 		self:        s.Host.Name,
 		incarnation: incarnation,
 		log:         log,
 		metrics:     instruments,
-		pool:        buffer.NewPool(s.Limits.BufferBytes),
+		pool:        pool,
 		lifecycle:   newLifecycle(log),
 		agreement:   newAgreement(self, time.Now()),
 		placement:   placement,
--- a/upstream/servicehttp/client.go
+++ b/upstream/servicehttp/client.go
@@ -1,10 +1,12 @@
 package servicehttp
 
 import (
+	"math"
 	"net"
 	"net/http"
 	"time"
 
+	"github.com/citronscale/citronscale/internal/buffer"
 	"github.com/citronscale/citronscale/internal/sentconn"
 	"github.com/citronscale/citronscale/upstream"
 )
@@ -13,6 +15,7 @@
 type Options struct {
 	DialTimeout  time.Duration // for opening a connection
 	MaxBodyBytes int64         // of a response
+	Buffers      *buffer.Pool  // bounds all responses that are being read; not bounded if nil
 }
 
 // Default limits.
@@ -38,6 +41,9 @@
 	if options.MaxBodyBytes == 0 {
 		options.MaxBodyBytes = DefaultMaxBodyBytes
 	}
+	if options.Buffers == nil {
+		options.Buffers = buffer.NewPool(math.MaxInt64)
+	}
 	dialer := &net.Dialer{Timeout: options.DialTimeout}
 	return &Client{
 		options: options,
--- a/upstream/servicehttp/service.go
+++ b/upstream/servicehttp/service.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 
+	"github.com/citronscale/citronscale/code"
 	"github.com/citronscale/citronscale/internal/endtoend"
 	"github.com/citronscale/citronscale/internal/sentconn"
 	"github.com/citronscale/citronscale/upstream"
@@ -78,12 +79,15 @@
 
 func (s *service) readResponse(resp *http.Response) (*upstream.CallResponse, error) {
 	limit := s.client.options.MaxBodyBytes
-	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
-	if err == nil && int64(len(body)) > limit {
+	memory := s.client.options.Buffers.Reserve()
+	defer memory.Release()
+	body, err := memory.ReadAll(resp.Body, resp.ContentLength, limit)
+	if code.Of(err) == code.BodyTooLarge {
 		err = fmt.Errorf("response is longer than %d bytes", limit)
 	}
 	if err != nil {
-		return nil, &upstream.Error{Upstream: s.name, Sent: upstream.SentSome, Err: err}
+		// The call has run, so the code must not be one with the outcome NotRun.
+		return nil, &upstream.Error{Upstream: s.name, Sent: upstream.SentSome, Err: code.Wrap(err, code.AnswerIncomplete)}
 	}
 	return &upstream.CallResponse{
 		Status: resp.StatusCode,
--- a/upstream/servicehttp/service_test.go
+++ b/upstream/servicehttp/service_test.go
@@ -6,13 +6,16 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/citronscale/citronscale/ident"
+	"github.com/citronscale/citronscale/internal/buffer"
 	"github.com/citronscale/citronscale/internal/stub/servicestub"
 	"github.com/citronscale/citronscale/internal/stub/stubhttp"
 	"github.com/citronscale/citronscale/upstream"
@@ -160,6 +163,36 @@
 	assert.Equal(t, len(stub.Calls()), 3)
 }
 
+// Answers without an end that are read at the same time must not exhaust the memory of
+// a host, whatever the limit of each of them.
+func TestEndlessAnswersShareTheBuffers(t *testing.T) {
+	part := make([]byte, 4<<10)
+	server, err := stubhttp.Listen("127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		for err := error(nil); err == nil; {
+			_, err = w.Write(part)
+		}
+	}), stubhttp.NewGate())
+	assert.NilError(t, err)
+	defer server.Close()
+	pool := buffer.NewPool(1 << 20)
+	service := servicehttp.NewClient(servicehttp.Options{Buffers: pool}).Service("pallets-1", server.Address())
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Go(func() {
+			_, err := service.Call(t.Context(), newCall("a"))
+			failure, ok := upstream.AsError(err)
+			assert.Check(t, ok && failure.Sent == upstream.SentSome, "%v", err)
+		})
+	}
+	wg.Wait()
+	runtime.ReadMemStats(&after)
+	assert.Equal(t, pool.Used(), int64(0))
+	allocated := after.TotalAlloc - before.TotalAlloc
+	assert.Assert(t, allocated < 16<<20, "%d bytes allocated", allocated)
+}
+
 func TestTruncatedResponseIsAnError(t *testing.T) {
 	server, err := stubhttp.Listen("127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Length", "100")
