--- a/internal/proctest/failures_test.go
+++ b/internal/proctest/failures_test.go
@@ -52,7 +52,8 @@
 			results := f.mix(45, func() { c.fault(f) })
 			f.checkTrue(results, c.alive, c.killedHost)
 			for _, r := range results {
-				assert.Assert(t, r.code == code.OK || r.code.Outcome() == code.NotRun, "%s was sent and failed with %s", r.id, r.code.Name())
+				assert.Assert(t, r.code == code.OK || r.code.Outcome() == code.NotRun, "%s was sent and failed with %s after %v of %v\n%s",
+					r.id, r.code.Name(), r.took, r.timeout, f.linesOf(r.id))
 			}
 		})
 	}
--- a/internal/proctest/fleet_test.go
+++ b/internal/proctest/fleet_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -205,6 +206,19 @@
 	return p
 }
 
+// linesOf returns what the hosts have logged of a request.
+func (f *fleet) linesOf(id string) string {
+	var lines strings.Builder
+	for _, host := range f.hosts {
+		for line := range strings.Lines(string(host.output.Bytes())) {
+			if strings.Contains(line, id) {
+				lines.WriteString(line)
+			}
+		}
+	}
+	return lines.String()
+}
+
 // waitReady waits until a host admits requests and has heard its engines.
 func (f *fleet) waitReady(n int) {
 	for end := time.Now().Add(startTime); ; time.Sleep(50 * time.Millisecond) {
