--- a/internal/proctest/fleet_test.go
+++ b/internal/proctest/fleet_test.go
@@ -210,7 +210,7 @@
 func (f *fleet) linesOf(id string) string {
 	var lines strings.Builder
 	for _, host := range f.hosts {
-		for line := range strings.Lines(string(host.output.Bytes())) {
+		for line := range strings.Lines(host.output.String()) {
 			if strings.Contains(line, id) {
 				lines.WriteString(line)
 			}
