rate: a backlog that has just formed is no standstill

Callers saw: 8 of 12 streams refused with DeadlineTooShort, 'estimated wait of 1h0m0s', 0.1 s after a host of citrond had started to queue, with a minute to their deadline. Cause: after 50 ms with a backlog from which nothing has drained the rate counted as zero, and the estimated wait as its bound of an hour. A stream takes seconds, so nothing can have drained. Change: without a drained request the wait is estimated as the time that the backlog has stood, seven seconds at most by the half-life. Before: TestNewBacklogIsNoStandstill red (1 h after 100 ms). After: green. Conclusion: fixed; a queue whose engines all stand still refuses later than before, by its bounds and the queue time.

--- a/internal/rate/rate.go
+++ b/internal/rate/rate.go
@@ -70,7 +70,7 @@
 		return 0
 	}
 	if d.amount <= 0 {
-		return limit
+		return min(time.Duration(d.seconds*float64(time.Second)), limit) // at least as long again
 	}
 	seconds := min(amount*d.seconds/d.amount, limit.Seconds())
 	return time.Duration(seconds * float64(time.Second))
