--- a/review/standin/stale.go
+++ b/review/standin/stale.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"time"
@@ -21,11 +22,13 @@
 	// modelReplicas and appReplicas are those of the grown deployment.
 	modelReplicas = 69
 	appReplicas   = 3
+	staleHosts    = 6
 )
 
 // staleList restarts a host soon after a replica has left. The list of replicas has two
 // pages. Both may be seconds old: the first is current, the second three seconds old. The
-// replica that left must get no request from the host once it is in touch.
+// replica that left must get no request from a host that is in touch. With RELEASE=1 the
+// model replicas are replaced meanwhile.
 func staleList(w *world) (bool, error) {
 	const host = "shop.example"
 	s := newStore(w.log)
@@ -57,7 +60,7 @@
 	}
 	time.Sleep(staleAge + time.Second)
 
-	if err := w.addRelays(3, address); err != nil {
+	if err := w.addRelays(staleHosts, address); err != nil {
 		return false, err
 	}
 	for _, r := range w.relays {
@@ -74,10 +77,16 @@
 	defer cancel()
 	var clients sync.WaitGroup
 	for i, r := range w.relays {
-		clients.Go(func() { w.callForever(ctx, r, host, "/check/7", i) })
+		clients.Go(func() { w.callForever(ctx, r, http.MethodGet, host, "/check/7", i) })
 	}
 	time.Sleep(4 * time.Second)
 
+	if os.Getenv("RELEASE") == "1" {
+		stop := make(chan struct{})
+		defer close(stop)
+		go s.release(stop)
+	}
+
 	leaving := all[appReplicas-1]
 	s.remove(names.ServerPrefix + leaving.id)
 	left := time.Now()
@@ -97,15 +106,39 @@
 	clients.Wait()
 
 	late := 0
+	byClient := map[string]int{}
 	for _, run := range leaving.all() {
 		if run.at.After(since) {
 			late++
+			byClient[run.id[:2]]++
 		}
 	}
+	w.log.printf("of these by client, where client 0 calls the host that was killed: %v", byClient)
 	w.log.printf("%s left at %.3f; requests that reached it since %.3f: %d", leaving.id, left.Sub(w.log.start).Seconds(), since.Sub(w.log.start).Seconds(), late)
 	return late == 0, nil
 }
 
+// release replaces the model replicas one after the other until stop is closed.
+func (s *store) release(stop <-chan struct{}) {
+	const step = 300 * time.Millisecond
+	idle := replica{address: "127.0.0.1:9"}
+	for i := 1; i <= modelReplicas; i++ {
+		old := fmt.Sprintf("%si-%02d", names.ServerPrefix, i)
+		for _, change := range []func(){
+			func() { s.put(fmt.Sprintf("%si-9%02d", names.ServerPrefix, i), idle.entry("manifest-model", "ready")) },
+			func() { s.put(old, idle.entry("manifest-model", "draining")) },
+			func() { s.remove(old) },
+		} {
+			select {
+			case <-stop:
+				return
+			case <-time.After(step):
+				change()
+			}
+		}
+	}
+}
+
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
@@ -114,24 +147,24 @@
 }
 
 // callForever sends requests to a host, one after the other, until ctx ends.
-func (w *world) callForever(ctx context.Context, r *relay, host, path string, client int) {
+func (w *world) callForever(ctx context.Context, r *relay, method, host, path string, client int) {
 	const interval = 50 * time.Millisecond
 	transport := &http.Transport{DisableCompression: true}
 	defer transport.CloseIdleConnections()
 	for n := 0; ctx.Err() == nil; n++ {
 		id := fmt.Sprintf("c%d-%d", client, n)
-		status, body := call(ctx, transport, r.front, host, path, id)
+		status, body := call(ctx, transport, r.front, method, host, path, id)
 		w.log.printf("client %d: %s to %s: status %d, body %q", client, id, r.name, status, body)
 		time.Sleep(interval)
 	}
 }
 
 // call sends one request without a body. The status is 0 without an answer.
-func call(ctx context.Context, transport *http.Transport, address, host, path, id string) (int, string) {
+func call(ctx context.Context, transport *http.Transport, address, method, host, path, id string) (int, string) {
 	const deadline = 1500 * time.Millisecond
 	ctx, cancel := context.WithTimeout(ctx, deadline)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, http.NoBody)
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, http.NoBody)
 	if err != nil {
 		return 0, err.Error()
 	}
