--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -9,6 +9,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -21,6 +23,15 @@
 	exitFailed = 2
 )
 
+// closeOnSignal ends all processes of the case when this one is told to end.
+func (w *world) closeOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	<-signals
+	w.close()
+	os.Exit(exitFailed)
+}
+
 func main() {
 	os.Exit(run(os.Args[1:]))
 }
@@ -43,6 +54,7 @@
 		return exitFailed
 	}
 	w.log.printf("case %s, disruption %v", args[0], w.trouble)
+	go w.closeOnSignal()
 	held, err := cases[args[0]](w)
 	if err != nil {
 		w.log.printf("the case couldn't run: %v", err)
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -13,7 +13,6 @@
 	"path/filepath"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -37,6 +36,9 @@
 	trouble bool
 	folder  string // temporary
 	relays  []*relay
+
+	mu     sync.Mutex // guards the processes of relays
+	closed bool
 }
 
 // listen serves a handler on a free loopback port and returns its address.
@@ -81,13 +83,13 @@
 
 // relay is one process of the system.
 type relay struct {
-	w                *world
-	name, ip         string
-	settings         string
-	front, ready     string
-	process          *exec.Cmd
-	exited           chan struct{}
-	startedAt, ended time.Time
+	w            *world
+	name, ip     string
+	settings     string
+	front, ready string
+	process      *exec.Cmd
+	exited       chan struct{}
+	startedAt    time.Time
 }
 
 // settingsText has the fields of the template of the deploy file, with the bounds of the
@@ -157,6 +159,11 @@
 
 // start starts the process with the command of the deploy file.
 func (r *relay) start() error {
+	r.w.mu.Lock()
+	defer r.w.mu.Unlock()
+	if r.w.closed {
+		return errors.New("the case has ended")
+	}
 	output, err := os.OpenFile(filepath.Join(r.w.folder, r.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
@@ -174,18 +181,14 @@
 	return nil
 }
 
-func (r *relay) signal(sig syscall.Signal) error {
-	r.w.log.printf("%s: gets signal %v", r.name, sig)
-	return r.process.Process.Signal(sig)
-}
-
 func (r *relay) kill() {
+	r.w.mu.Lock()
+	defer r.w.mu.Unlock()
 	if r.process == nil {
 		return
 	}
 	_ = r.process.Process.Kill() // it may have ended
 	<-r.exited
-	r.ended = time.Now()
 	r.w.log.printf("%s: killed", r.name)
 	r.process = nil
 }
@@ -215,6 +218,9 @@
 }
 
 func (w *world) close() {
+	w.mu.Lock()
+	w.closed = true
+	w.mu.Unlock()
 	for _, r := range w.relays {
 		r.kill()
 	}
