platform, mirror: an older change undoes no newer one

What callers see: requests go to an upstream that is draining again, or none to one that is there, for as long as a peer is behind. Shown by a test, not seen with processes.

Cause: changes were applied in the order in which they came. The content of a peer between the two undid such an entry, and a whole content without it removed it, with a revision made up above that of the entry.

Ruled out: configurations, which are accepted by their version and never go back.

Change: a change that is older than what is known of its key has no effect; a whole content removes only entries up to its position.

Evidence: TestContentOfAPeerUndoesNoNewerChange failed before in three of four cases ("an older change has undone draining", "an older state has removed an entry") and holds.

Conclusion: revisions of single keys decide, so repeated or late changes do no harm.

--- a/mirror/state.go
+++ b/mirror/state.go
@@ -56,7 +56,15 @@
 	s.forget()
 }
 
-// Replace records the whole content of the source at a position.
+// Revision returns the revision of the last known change or removal of a key, or 0.
+func (s *State) Revision(key string) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.entries[key].Revision
+}
+
+// Replace records the whole content of the source at a position. Entries that are newer
+// than the position are kept, whether they are listed or not.
 func (s *State) Replace(position uint64, entries []Entry) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -70,8 +78,9 @@
 		s.put(e)
 	}
 	for key, e := range s.entries {
-		if !listed[key] && !e.Deleted {
-			s.put(Entry{Key: key, Revision: max(position, e.Revision+1), Deleted: true})
+		if !listed[key] && !e.Deleted && e.Revision <= position {
+			s.entries[key] = Entry{Key: key, Revision: position, Deleted: true}
+			s.changed = max(s.changed, position)
 		}
 	}
 	s.position = max(s.position, position)
