relay: a line that fills the read buffer ends no event

Cause: eventReader.next judged only the rest of a line after the last full buffer. If the line has the size of the buffer or a multiple, the rest is empty and passed for the blank line that ends an event; a rest that begins with "id:" passed for the identifier.

Ruled out: the upstream's cut (these were after whole events), and the resumption itself, which went on after the identifier that it was given.

Change: lines are judged whole, in the bytes collected for the event.

Evidence: TestLineThatFillsTheBufferEndsNoEvent failed before ("lines of 4096 bytes") and holds for each length from 4,094 to 8,194.

Conclusion: no part of a line is taken for a line.

--- a/relay/stream.go
+++ b/relay/stream.go
@@ -273,9 +273,10 @@
 // event or a line.
 func (r *eventReader) next() (raw []byte, id string, err error) {
 	hasField := false
+	lineStart := 0 // of the current line in raw
 	for {
-		line, err := r.in.ReadSlice('\n')
-		raw = append(raw, line...)
+		part, err := r.in.ReadSlice('\n') // part of a line if it fills the buffer
+		raw = append(raw, part...)
 		if errors.Is(err, bufio.ErrBufferFull) && len(raw) < maxEventBytes {
 			continue
 		}
@@ -288,13 +289,14 @@
 		if err != nil {
 			return raw, "", err
 		}
-		text := bytes.TrimRight(line, "\r\n")
-		if value, ok := bytes.CutPrefix(text, []byte("id:")); ok {
+		line := bytes.TrimRight(raw[lineStart:], "\r\n")
+		lineStart = len(raw)
+		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			id = string(bytes.TrimSpace(value))
 		}
-		if len(text) == 0 && hasField {
+		if len(line) == 0 && hasField {
 			return raw, id, nil
 		}
-		hasField = hasField || len(text) > 0 && text[0] != ':'
+		hasField = hasField || len(line) > 0 && line[0] != ':'
 	}
 }
--- a/relay/stream_test.go
+++ b/relay/stream_test.go
@@ -51,3 +51,19 @@
 		assert.ErrorIs(t, err, io.ErrUnexpectedEOF, "cut after %q", whole[:cut])
 	}
 }
+
+// Guards against two events that are joined, or an identifier read from the middle of a
+// line, where a line fills the buffer of the reader.
+func TestLineThatFillsTheBufferEndsNoEvent(t *testing.T) {
+	const bufferSize = 4096
+	for size := bufferSize - 2; size <= 2*bufferSize+2; size++ {
+		data := "data: " + strings.Repeat("a", size)
+		first := "id: 1\n" + data[:size] + "\n\n"
+		second := "id: 2\n" + data[:size-4] + "id:7\n\n"
+		events, ids, err := readEvents(t, first+second)
+		assert.ErrorIs(t, err, io.EOF)
+		assert.Equal(t, len(events), 2, "lines of %d bytes", size)
+		assert.Assert(t, events[0] == first && events[1] == second, "lines of %d bytes", size)
+		assert.DeepEqual(t, ids, []string{"1", "2"})
+	}
+}
