relay: an answer that is no event stream continues no stream

Cause: streamFrom wrote each whole answer below 500 to the caller, whether the caller had a part of the stream or not.

Ruled out: answers of 500 and above, which were cut; refusals with the mark that the request has not run, which lead to another attempt.

Change: once the caller has a part of the stream, such an answer fails its attempt. The stream goes on at another upstream if an attempt is left, and is cut otherwise.

Conclusion: only an event stream with status 200 is appended to a stream.

--- a/relay/stream.go
+++ b/relay/stream.go
@@ -118,6 +118,9 @@
 		x.addNote("content type of upstream %s: %v", p.main.ID, err)
 	}
 	if a.response.StatusCode != http.StatusOK || kind != "text/event-stream" {
+		if x.answerStarted {
+			return nil, a.notContinued(kind)
+		}
 		answer, err := a.readAnswer()
 		if err == nil {
 			x.writeAnswer(answer)
@@ -127,6 +130,16 @@
 	return nil, x.forwardEvents(a, p)
 }
 
+// notContinued returns the error of an answer that doesn't continue a stream of which the
+// caller has a part. Its status and body can't be forwarded any more.
+func (a *attempt) notContinued(kind string) error {
+	c := code.AnswerIncomplete
+	if a.response.StatusCode >= http.StatusInternalServerError {
+		c = code.UpstreamFailed
+	}
+	return code.New(c, "upstream %s continued the stream with status %d and content type %q", a.upstream.ID, a.response.StatusCode, kind)
+}
+
 // firstEventTimeout returns the timeout of the first event. A cancelled stream
 // loses its prefill, so the timeout is longer than any wait that a queue
 // explains. The connection detects a crashed engine.
