relay: a stream goes on with later events only

Cause: nothing in relay looked at the identifiers of events. An event without one was forwarded and not counted, so the stream was resumed before it.

Ruled out: a wrong Last-Event-Id in the request (the stand-ins recorded 7).

Change: an event whose identifier is not above that of the last one fails its attempt. The stream goes on elsewhere or is cut. The same holds where the caller itself resumes; on a route without resumption a stream begins anew. After an event without identifier a stream is not resumed.

Tests: two stand-ins repeated the identifier 1 in every event, which the users' page excludes ("a series of events with increasing ids"); the host now rightly cuts that. The stream of TestStreamIsWholeAfterItsCallerPaused counts its events, and the flood of TestCallerThatStopsReadingIsClosed has none with an identifier; what they check is as before.

Conclusion: no event goes back or comes twice, whatever an upstream does. One that is left out by an upstream can't be noticed: identifiers rise, but not by a stated step.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -34,6 +34,7 @@
 	takeFailOver  func() bool // takes a retry if another upstream can get the request
 	retryTaken    atomic.Bool // takeFailOver took a retry from the budget
 	answerStarted atomic.Bool // the first bytes of the answer were sent to the caller
+	unnumbered    atomic.Bool // the caller has an event without an identifier
 	response      *http.Response
 	answer        Answer
 }
@@ -74,7 +75,7 @@
 func (a *attempt) onTimeout() {
 	mustFinish := a.answerStarted.Load() || !a.x.route.Repeatable()
 	if left := a.x.timeLeft(); left > minAttemptTime && mustFinish {
-		if !a.takeFailOver() {
+		if a.unnumbered.Load() || !a.takeFailOver() {
 			a.timer.Reset(min(left, failOverCheckInterval))
 			return
 		}
@@ -240,7 +241,7 @@
 	if len(x.helpers) > 0 {
 		x.addNote("helpers %v", x.helpers)
 	}
-	if x.callerGone() {
+	if x.callerGone() || x.unnumbered {
 		return failed
 	}
 	return x.decideRetry(failed)
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -48,6 +48,7 @@
 	firstRecorded  bool     // the first attempt was added to the retry budget
 	answerStarted  bool     // the first bytes of the answer were sent to the caller
 	events         int
+	unnumbered     bool          // the caller has an event without an identifier
 	firstAt        time.Duration // first event, or start of a buffered answer
 	lastAt         time.Duration // latest event
 	maxGap         time.Duration // longest time between two events
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -8,6 +8,7 @@
 	"io"
 	"mime"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/citronscale/citronscale/code"
@@ -61,7 +62,7 @@
 // caller leaves when its own patience ends; cutting the answer before would only take
 // the chance away.
 func (x *exchange) awaitResume(reason error) bool {
-	if !x.answerStarted || !x.route.Repeatable() || x.runs >= x.route.Attempts {
+	if !x.answerStarted || x.unnumbered || !x.route.Repeatable() || x.runs >= x.route.Attempts {
 		return false
 	}
 	switch code.Of(reason) {
@@ -175,6 +176,9 @@
 		if err != nil {
 			return a.streamError(err)
 		}
+		if !x.continues(id) {
+			return code.New(code.AnswerIncomplete, "upstream %s sent event %q after event %q", p.main.ID, id, x.call.LastEvent)
+		}
 		if !x.answerStarted {
 			x.writeStreamHeader(a)
 		}
@@ -195,13 +199,37 @@
 		if err := flusher.Flush(); err != nil {
 			return code.New(code.CallerGone, "flush to the caller: %w", err)
 		}
-		if id != "" {
+		if id == "" {
+			a.endsResumption()
+		} else {
 			x.call.LastEvent = id
 		}
 		a.restartTimeout(x.gapTimeout())
 	}
 }
 
+// continues reports whether an event with this identifier may follow the last one that the
+// caller has. Identifiers rise; those that are no numbers must differ.
+func (x *exchange) continues(id string) bool {
+	last := x.call.LastEvent
+	if id == "" || last == "" || x.events == 0 && !x.route.Repeatable() {
+		return true // on a route without resumption, the stream begins anew
+	}
+	after, errID := strconv.ParseUint(id, 10, 64)
+	before, errLast := strconv.ParseUint(last, 10, 64)
+	if errID != nil || errLast != nil {
+		return id != last
+	}
+	return after > before
+}
+
+// endsResumption records that the caller has an event without an identifier. No upstream
+// can be told to go on after it.
+func (a *attempt) endsResumption() {
+	a.x.unnumbered = true
+	a.unnumbered.Store(true)
+}
+
 // recordEvent records the arrival of an event.
 func (x *exchange) recordEvent(now time.Duration) {
 	if x.events == 0 {
