relay: a broken stream whose route is gone is cut without a panic

What callers saw: a cut stream, as they should.

Cause: resolve assigned the result of the look-up to the exchange before it looked at the error, so that awaitResume read a route that was nil.

Ruled out: a team that is cleared in the same way. The next try sets it again, and TestBrokenStreamIsResumedOnceTheConfigurationIsConfirmed held before, too; it stays.

Change: the exchange keeps route and team if they can't be found again.

Evidence: TestBrokenStreamIsCutWhenItsRouteIsGone failed before ("nil pointer dereference", "result":"OK") and holds with "UpstreamLost" and the missing route as detail.

--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -88,15 +88,21 @@
 	return x.readBody()
 }
 
-// resolve finds the route of the request and the team of its caller in the
-// current table.
+// resolve finds the route of the request and the team of its caller in the current
+// table. If it fails, the exchange keeps those that it had.
 func (x *exchange) resolve() error {
-	var err error
-	x.table, x.route, err = x.s.match(x.request.Host, x.path)
+	table, r, err := x.s.match(x.request.Host, x.path)
+	if table != nil {
+		x.table = table
+	}
 	if err != nil {
 		return err
 	}
-	x.team, err = x.s.authorize(x.table, x.route, x.call.Key)
+	team, err := x.s.authorize(table, r, x.call.Key)
+	if err != nil && x.route != nil {
+		return err
+	}
+	x.route, x.team = r, team
 	return err
 }
 
