relay: a begun stream stays with its service

What callers see: on a route that is divided between services, a stream that breaks off may go on at another service, so that an answer holds pieces of two models. Shown by a test.

Cause: the service was drawn anew for each attempt.

Ruled out: a route that a new configuration moves.

Change: a stream of which the caller has a part stays with its service while the route leads there.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -293,9 +293,14 @@
 	return nil
 }
 
-// chooseService selects a service of the route at random for the next attempt.
+// chooseService selects a service of the route at random for the next attempt. A stream of
+// which the caller has a part stays with its service while the route leads there.
 func (x *exchange) chooseService() {
 	table, r := x.table, x.route
+	if begun, ok := table.Backend(r, x.service.Name); ok && x.answerStarted {
+		x.service = begun
+		return
+	}
 	x.service = withRand(x.s, func(rng *rand.Rand) route.Service { return table.Service(r, rng) })
 	if !x.firstRecorded {
 		x.firstRecorded = true
--- a/route/table.go
+++ b/route/table.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sort"
 	"strings"
 )
@@ -95,6 +96,14 @@
 	return t.service(r.Backends[0].Service)
 }
 
+// Backend returns a service by name if it is a backend of the route.
+func (t *Table) Backend(r *Route, name string) (Service, bool) {
+	if !slices.ContainsFunc(r.Backends, func(b Backend) bool { return b.Service == name }) {
+		return Service{}, false
+	}
+	return t.service(name), true
+}
+
 func (t *Table) service(name string) Service {
 	if s, ok := t.config.Services[name]; ok {
 		return s
