relay: an unframed answer of a crashed upstream is not complete

What callers see: an answer, or a stream cut after a whole event, ends early and looks complete, if it has neither a length nor chunks and the process that sent it crashes.

Cause: such an answer ends with its connection, and a crash closes connections in the same way, without a reset.

Ruled out as signs: the count of events, which no header names; a last event of its kind, which the users' page doesn't have; resuming every such stream, which reads its prompt again.

Change: after such an answer the host opens one more connection to the upstream. If it is refused, the answer has been broken off. If the path is cut, it counts as complete, as the users' page allows.

Conclusion: a crash is told apart unless the process is replaced at once.

--- a/relay/answer.go
+++ b/relay/answer.go
@@ -144,6 +144,9 @@
 	case err != nil:
 		return nil, code.Wrap(fmt.Errorf("answer of upstream %s: %w", a.upstream.ID, err), code.AnswerIncomplete)
 	}
+	if err := a.unframedEnd(); err != nil {
+		return nil, err
+	}
 	answer := &completeAnswer{status: a.response.StatusCode, header: endtoend.Header(a.response.Header), body: body}
 	if answer.status >= http.StatusInternalServerError {
 		return answer, code.New(code.UpstreamFailed, "upstream %s answered with status %d", a.upstream.ID, answer.status)
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -125,11 +125,6 @@
 	a.timer.Reset(timeout)
 }
 
-// unframed reports whether the answer ends with its connection.
-func (a *attempt) unframed() bool {
-	return a.response.ContentLength < 0 && len(a.response.TransferEncoding) == 0
-}
-
 func (a *attempt) close() {
 	a.timer.Stop()
 	a.cancel()
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -168,6 +168,9 @@
 			if begun == 0 && a.unframed() {
 				return a.connectionError(errNoEvent)
 			}
+			if err := a.unframedEnd(); err != nil {
+				return err
+			}
 			if !recorded && begun > 0 {
 				x.recordStart(begun)
 			}
