soak: streams that break off, resumed by hosts and by callers

Cause: the users saw ORDER broken with real processes; the soak compared complete answers only, its upstreams resumed streams rightly, and its callers never came again.

Change: TestStreamSoak plays streams alone, of lines that may fill buffers, beside all other faults. Upstreams break streams off and resume wrongly; callers may be slow, and come again with Last-Event-Id at any host. Parts of broken streams are checked, in TestSoak, too.

--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,6 +22,7 @@
 	oversizeShare  = 0.04 // of streams: their prompts need the memory of several engines
 	switchShare    = 0.1  // of requests that open a connection to another host
 	mostThink      = 80 * time.Millisecond
+	slowShare      = 0.2 // of the callers of streams
 )
 
 // request is one request of a caller and what became of it.
@@ -31,6 +33,7 @@
 	team        string
 	repeatable  bool
 	stream      bool
+	line        int // least bytes of a data line of the stream
 	sentAt      time.Time
 	leftAt      time.Time // when the caller gave up; zero if it did not
 	endedAt     time.Time // zero while it is open
@@ -102,6 +105,9 @@
 		}
 		r := c.draw(rng, at)
 		c.send(r, client, rng)
+		for again := c.resume(r, rng); again != nil && !c.stopped(); again = c.resume(again, rng) {
+			c.send(again, client, rng)
+		}
 		if r.answer.Err != nil || r.answer.Status >= http.StatusInternalServerError {
 			client.CloseIdleConnections()
 			client = nil
@@ -131,6 +137,10 @@
 		ID: id, Method: http.MethodPost, Address: at.front.Address(), Host: callHost, Key: key, Body: "body of " + id,
 		Deadline: 1500 * time.Millisecond,
 	}}
+	if w.plan.streamsOnly {
+		c.drawStream(r, rng)
+		return r
+	}
 	name := ""
 	switch pick := rng.Float64(); {
 	case pick < 0.25:
@@ -156,6 +166,42 @@
 	return r
 }
 
+// bufferBytes is the size of the buffers that hosts read streams with.
+const bufferBytes = 4096
+
+// drawStream makes the request one for a stream, of lines that may fill buffers, and of a
+// caller that may be slow.
+func (c *crowd) drawStream(r *request, rng *rand.Rand) {
+	name := "stream-once"
+	if rng.Float64() < 0.8 {
+		name, r.repeatable = "stream", true
+	}
+	r.stream, r.Deadline, r.Prompt = true, 10*time.Second, 500+rng.IntN(2_000)
+	r.line = []int{0, 0, bufferBytes - 1, bufferBytes, bufferBytes + 1, 2 * bufferBytes}[rng.IntN(6)]
+	r.Path = fmt.Sprintf("/%s/%s?line=%d", name, r.ID, r.line)
+	if rng.Float64() < slowShare {
+		r.ReadEvery = time.Duration(rng.Int64N(int64(2 * eventEvery)))
+	}
+}
+
+// resume makes the request of a caller whose stream broke off, at any host. It returns nil
+// if the stream can't be resumed.
+func (c *crowd) resume(broken *request, rng *rand.Rand) *request {
+	if !broken.repeatable || !broken.stream || broken.answer.Err == nil || broken.answer.Status != http.StatusOK || !broken.leftAt.IsZero() {
+		return nil
+	}
+	last := broken.LastEvent + strings.Count(broken.answer.Body, "\n\n")
+	if last == 0 || last >= events {
+		return nil
+	}
+	hosts := *c.inRotation.Load()
+	r := &request{host: hosts[rng.IntN(len(hosts))], team: broken.team, repeatable: true, stream: true, line: broken.line, CallerRequest: broken.CallerRequest}
+	r.ID = fmt.Sprintf("%d-%d", c.w.seed, c.nextID.Add(1))
+	r.Address, r.Body, r.LastEvent = r.host.front.Address(), "body of "+r.ID, last
+	r.Path = fmt.Sprintf("/stream/%s?line=%d", r.ID, r.line)
+	return r
+}
+
 func (c *crowd) send(r *request, client *http.Client, rng *rand.Rand) {
 	wait := r.Deadline + time.Second
 	leaves := rng.Float64() < giveUpShare
--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/citronscale/citronscale/platform/platformtest"
@@ -116,6 +117,7 @@
 
 func (c *checker) checkAnswer(r *request) {
 	a, book := &r.answer, c.w.book
+	c.checkStream(r)
 	switch a.Status {
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
 		if len(c.runs[r.ID]) > 0 {
@@ -127,13 +129,25 @@
 	}
 	whole := platformtest.ExpectedAnswer(a.SealedBy, r.ID)
 	if r.stream {
-		whole = platformtest.ExpectedStream(events, r.ID)
+		whole = r.wholeStream()
 	}
 	if a.RequestID != r.ID || a.SealedBy == "" || a.Body != whole {
 		book.violate("whole answer", "request %s through %s got the answer of %q sealed by %q: %q", r.ID, r.host.name, a.RequestID, a.SealedBy, a.Body)
 	}
 }
 
+// wholeStream returns the events that the caller of a stream must get.
+func (r *request) wholeStream() string {
+	return platformtest.ExpectedRest(r.LastEvent+1, events, r.ID, r.line)
+}
+
+// checkStream compares what came of a stream that broke off.
+func (c *checker) checkStream(r *request) {
+	if a := &r.answer; r.stream && a.Status == http.StatusOK && a.Err != nil && !strings.HasPrefix(r.wholeStream(), a.Body) {
+		c.w.book.violate("order", "request %s through %s, which goes on after event %d, got a part of a stream that is no beginning of it: %q", r.ID, r.host.name, r.LastEvent, a.Body)
+	}
+}
+
 // checkStop holds planned stops to cutting nothing, where nothing else happened.
 func (c *checker) checkStop(r *request) {
 	if r.answer.Err == nil || !r.leftAt.IsZero() || len(c.runs[r.ID]) == 0 {
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -39,9 +39,28 @@
 	{"harm the way of callers", 3, false, (*world).harmCallers},
 }
 
+// streamActs are faults of streams.
+var streamActs = []act{{"spoil the streams of an upstream", 12, false, (*world).spoilStreams}}
+
+// spoilStreams lets an upstream break its streams off, and resume others wrongly.
+func (w *world) spoilStreams(rng *rand.Rand) {
+	u := w.claimUpstream(rng)
+	if u == nil {
+		return
+	}
+	defer w.freeUpstream(u)
+	defer w.disturb("")()
+	u.replica.SetStreamFault(platformtest.StreamFault{
+		BreakAfter: rng.IntN(events / 2), WithinEvent: rng.IntN(2) == 0, Unframed: rng.IntN(3) == 0,
+		Resume: platformtest.ResumeFault(rng.IntN(int(platformtest.AnswersText) + 1)),
+	})
+	time.Sleep(between(rng, 300*time.Millisecond, 3*time.Second))
+	u.replica.SetStreamFault(platformtest.StreamFault{})
+}
+
 // pick draws an act.
-func pick(rng *rand.Rand, plannedOnly bool) act {
-	list := slices.DeleteFunc(slices.Clone(acts), func(a act) bool { return plannedOnly && !a.planned })
+func (p *plan) pick(rng *rand.Rand, plannedOnly bool) act {
+	list := slices.DeleteFunc(slices.Clone(p.acts), func(a act) bool { return plannedOnly && !a.planned })
 	total := 0
 	for _, a := range list {
 		total += a.weight
@@ -63,7 +82,7 @@
 // play carries out acts one after the other until a time.
 func (w *world) play(rng *rand.Rand, plannedOnly bool, until time.Time) {
 	for time.Now().Before(until) {
-		a := pick(rng, plannedOnly)
+		a := w.plan.pick(rng, plannedOnly)
 		w.logf("%s", a.name)
 		a.run(w, rng)
 		time.Sleep(between(rng, 50*time.Millisecond, 1200*time.Millisecond))
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -3,8 +3,10 @@
 import (
 	"flag"
 	"fmt"
+	"net/http"
 	"os"
 	"os/exec"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -76,13 +78,32 @@
 	for _, seed := range list {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			t.Parallel()
-			soak(t, seed)
+			soak(t, seed, plan{acts: acts})
 		})
 	}
 }
 
-func soak(t *testing.T, seed uint64) {
+// TestStreamSoak plays one run with streams only for each seed asked for: upstreams break
+// streams off and resume them wrongly, besides all other faults.
+func TestStreamSoak(t *testing.T) {
+	for n := range *seeds {
+		seed := *firstSeed + uint64(n)
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			soak(t, seed, plan{acts: slices.Concat(acts, streamActs), streamsOnly: true})
+		})
+	}
+}
+
+// plan is what a run plays.
+type plan struct {
+	acts        []act
+	streamsOnly bool
+}
+
+func soak(t *testing.T, seed uint64, p plan) {
 	w := newWorld(t, seed, *hostCount)
+	w.plan = p
 	crowd := w.startCrowd()
 	stopChecks := w.checkRegularly()
 	w.phase("planned work", true, *planned)
@@ -140,6 +161,31 @@
 	}
 }
 
+// reportStreams logs how many streams were broken and resumed by whom.
+func (w *world) reportStreams(requests []request) {
+	runs := map[string]int{}
+	for _, replica := range w.replicas() {
+		for _, r := range replica.Runs() {
+			runs[r.RequestID()]++
+		}
+	}
+	broken, byHost, byCaller := 0, 0, 0
+	for i := range requests {
+		r := &requests[i]
+		whole := r.answer.Err == nil && r.answer.Status == http.StatusOK
+		switch {
+		case r.answer.Status == http.StatusOK && !whole:
+			broken++
+		case whole && runs[r.ID] > 1:
+			byHost++
+		}
+		if whole && r.LastEvent > 0 {
+			byCaller++
+		}
+	}
+	w.logf("streams that callers saw broken: %d; completed by more than one run: %d; completed for callers that came again: %d", broken, byHost, byCaller)
+}
+
 // report logs what became of the requests.
 func (w *world) report() {
 	requests, stops := w.book.snapshot()
@@ -148,5 +194,8 @@
 		byStatus[requests[i].answer.Status]++
 	}
 	w.logf("%d requests by status: %v; %d planned stops", len(requests), byStatus, len(stops))
+	if w.plan.streamsOnly {
+		w.reportStreams(requests)
+	}
 	assert.Assert(w.t, len(requests) > 0)
 }
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -50,6 +50,7 @@
 type world struct {
 	t     *testing.T
 	seed  uint64
+	plan  plan
 	part  int    // of the loopback networks that belongs to the run
 	dir   string // settings and output of the hosts
 	store *platformtest.Store
