relay: a refusal of another request is not believed

Cause: checkAnswer read the mark that a request has not run before the identifier of the request that the answer is for.

Ruled out: late answers on kept connections; each attempt has a connection of its own.

Change: a refusal with another identifier means that the request may have run.

Evidence: TestRefusalOfAnotherRequestIsNotBelieved failed before (503 in place of 502) and holds, with one attempt.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -179,7 +179,7 @@
 	x := a.x
 	status := a.response.StatusCode
 	switch {
-	case a.answer.NotRun:
+	case a.answer.NotRun && (a.answer.RequestID == "" || a.answer.RequestID == x.call.ID):
 		x.runs--
 		a.blameHelper()
 		return code.New(code.NoCapacity, "upstream %s refused with status %d, fault %q", a.upstream.ID, status, a.answer.Fault)
