enginehttp: each attempt has a connection of its own

Cause: prompts were sent on kept connections, and a refusal names no attempt, so it was matched by its place on the connection.

Ruled out: frames of streams, which name their attempt; plain services, which have a connection for each call; idle connections, on which net/http takes unasked bytes for an error.

Change: prompts are sent on new connections, as retries were before. Reports, reservations and orders keep theirs.

Tests: connections that the two tests of silent connections need are opened by reports, since prompts leave none. Both fail as before if all calls use kept connections.

Evidence: TestRepeatedRefusalIsNotTakenForTheNextAnswer failed before (1 of 2 requests) and holds.

--- a/upstream/enginehttp/engine.go
+++ b/upstream/enginehttp/engine.go
@@ -80,10 +80,12 @@
 	return e.call(ctx, http.MethodPost, enginewire.PathOrder, &message, nil)
 }
 
-// Generate implements upstream.Engine.
+// Generate implements upstream.Engine. Each attempt has a connection of its own: an engine
+// may send an earlier refusal once more where the next answer is expected, and other open
+// connections may have stopped responding when an attempt before it failed.
 func (e *engine) Generate(ctx context.Context, req *upstream.GenerateRequest) (upstream.Stream, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	body, err := e.send(ctx, cancel, e.transportFor(req.Attempt), http.MethodPost, enginewire.PathGenerate, enginewire.NewGenerate(req))
+	body, err := e.send(ctx, cancel, e.client.unpooled, http.MethodPost, enginewire.PathGenerate, enginewire.NewGenerate(req))
 	if err != nil {
 		cancel()
 		return nil, err
--- a/upstream/enginehttp/send.go
+++ b/upstream/enginehttp/send.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"time"
 
-	"github.com/citronscale/citronscale/ident"
 	"github.com/citronscale/citronscale/internal/sentconn"
 	"github.com/citronscale/citronscale/upstream"
 	"github.com/citronscale/citronscale/upstream/enginewire"
@@ -79,16 +78,6 @@
 	return req, nil
 }
 
-// transportFor returns the transport for an attempt. A retry opens a new
-// connection: the previous attempt can have failed because connections stopped
-// responding, which can affect the idle connections to this engine as well.
-func (e *engine) transportFor(attempt ident.Attempt) *http.Transport {
-	if attempt.Number > 1 {
-		return e.client.unpooled
-	}
-	return e.transport()
-}
-
 // transport returns the transport that reuses connections, or the one that opens
 // a new connection if a recent call to the engine failed.
 func (e *engine) transport() *http.Transport {
