relay: targets with two leading slashes are forwarded unchanged

Cause: the target was an opaque URL, and net/http writes the scheme before one that begins with two slashes, which makes it a request for another host and path.

Ruled out: the match of routes, which takes the path as it was sent.

Change: such a target is written from its path and query; if that gives another text, the request is refused with 400. Other targets are written as before.

Conclusion: no path is changed on the way.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -6,7 +6,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"net/url"
 	"slices"
 	"strconv"
 	"sync/atomic"
@@ -138,8 +137,10 @@
 	if _, ok := header["User-Agent"]; !ok {
 		header["User-Agent"] = []string{""} // keeps net/http from adding its own
 	}
+	target := x.target
+	target.Host = params.Upstream.Address
 	out := &http.Request{
-		Method: x.request.Method, URL: &url.URL{Scheme: "http", Host: params.Upstream.Address, Opaque: x.request.RequestURI},
+		Method: x.request.Method, URL: &target,
 		Host: x.request.Host, Header: header, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		ContentLength: int64(len(x.body)), Body: http.NoBody,
 	}
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"net/url"
 	"os"
 	"strconv"
 	"strings"
@@ -41,6 +42,7 @@
 	deadlineAt   time.Duration // the earlier deadline of the caller and the route
 
 	path           string
+	target         url.URL // without a host
 	service        route.Service
 	tried          []string // upstreams of all attempts
 	runs           int      // attempts that may have run
@@ -77,6 +79,10 @@
 	if err := x.resolve(); err != nil {
 		return err
 	}
+	var err error
+	if x.target, err = targetURL(x.request.RequestURI); err != nil {
+		return err
+	}
 	left := x.route.Timeout
 	if x.call.TimeLeft > 0 {
 		left = min(left, x.call.TimeLeft)
