relay: the timer of an attempt is stored before it fires

Cause: time.AfterFunc started the timer before its result was assigned; onTimeout uses the field to set the timer again.

Ruled out: other timers of relay; they are locals of their goroutine.

Change: the timer is created without a time, stored and then set.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -50,7 +51,7 @@
 	x.tried = append(x.tried, params.Upstream.ID)
 	a.takeFailOver = x.failOverCheck()
 	a.answerStarted.Store(x.answerStarted)
-	a.timer = time.AfterFunc(timeout, a.onTimeout)
+	a.startTimer(timeout)
 	response, err := x.s.transport.RoundTrip(x.upstreamRequest(a.ctx, params)) //nolint:bodyclose // attempt.close closes it
 	if err != nil {
 		failure := a.connectionError(err)
@@ -67,6 +68,13 @@
 	return a, nil
 }
 
+// startTimer starts the timeout of the attempt. The timer is set after the field, which
+// onTimeout uses: a process may be suspended between the two.
+func (a *attempt) startTimer(timeout time.Duration) {
+	a.timer = time.AfterFunc(math.MaxInt64, a.onTimeout)
+	a.timer.Reset(timeout)
+}
+
 // onTimeout ends an attempt that made no progress within its timeout. The
 // upstream may still answer, so the attempt goes on if no other upstream can take
 // over and either the caller has part of the answer or the caller can't safely
