relay: the retry budget follows the number of hosts

Cause: the budget of a service was made at its first request with the number of hosts known then, which may be one, and stayed so.

Ruled out: the counts of first attempts, which each host keeps for itself.

Change: the share is set again when the number of known hosts has changed; what the budget holds beyond it is lost.

--- a/relay/server.go
+++ b/relay/server.go
@@ -54,8 +54,8 @@
 
 	mu        sync.Mutex // guards rng, budgets and leavingAt
 	rng       *rand.Rand
-	budgets   map[string]*retry.Budget // by service
-	leavingAt time.Duration            // when a planned stop began, 0 before
+	budgets   map[string]*serviceBudget // by service
+	leavingAt time.Duration             // when a planned stop began, 0 before
 
 	buffers  *buffer.Pool // of bodies and complete answers
 	inFlight atomic.Int64
@@ -86,7 +86,7 @@
 		options: options, dialect: parts.Dialect, memory: parts.Memory, started: time.Now().UnixMilli(), routes: parts.Routes, upstreams: parts.Upstreams,
 		ledger: parts.Ledger, quarantine: parts.Quarantine, limits: parts.Limits, peers: parts.Peers, log: parts.Log, metrics: parts.Metrics,
 		buffers:   buffer.NewPool(options.BufferBytes),
-		transport: newTransport(), lines: newLineLimiter(), rng: parts.Rng, budgets: map[string]*retry.Budget{},
+		transport: newTransport(), lines: newLineLimiter(), rng: parts.Rng, budgets: map[string]*serviceBudget{},
 	}
 }
 
@@ -183,13 +183,25 @@
 	return s.budget(service).Take(time.Now())
 }
 
+// serviceBudget is this host's share of the retry budget of a service.
+type serviceBudget struct {
+	*retry.Budget
+	hosts int // that divide the budget
+}
+
+// budget returns the retry budget of a service, for the hosts that are known now: after a
+// restart under load, a host knows no other one at its first request.
 func (s *Server) budget(service string) *retry.Budget {
+	hosts, now := s.peers.Hosts(), time.Now()
+	options := retry.ShareOptions(s.options.RetryRatio*retryBudgetShare, s.options.RetrySlack*retryBudgetShare, s.options.RetryWindow, hosts)
 	b, ok := s.budgets[service]
-	if !ok {
-		b = retry.NewBudget(retry.ShareOptions(
-			s.options.RetryRatio*retryBudgetShare, s.options.RetrySlack*retryBudgetShare, s.options.RetryWindow, s.peers.Hosts(),
-		), time.Now())
+	switch {
+	case !ok:
+		b = &serviceBudget{retry.NewBudget(options, now), hosts}
 		s.budgets[service] = b
+	case b.hosts != hosts:
+		b.SetOptions(options, now)
+		b.hosts = hosts
 	}
-	return b
+	return b.Budget
 }
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -46,6 +46,13 @@
 	}
 }
 
+// SetOptions changes the limits. What the budget holds beyond the new burst is lost.
+func (b *Budget) SetOptions(options BudgetOptions, now time.Time) {
+	b.refill(now)
+	b.options = options
+	b.add(0)
+}
+
 // SetRatio changes the retries that each later first attempt adds.
 func (b *Budget) SetRatio(ratio float64) {
 	b.options.Ratio = ratio
