mirror: hosts behind a list hear of all keys

What callers could see: requests without end to an upstream that left, at hosts that read the entries from a peer. Shown by a test.

Cause: a host that lists the store anew finds only removals of keys that it knew. A key that came and went while it could not read was known to hosts that had heard of it from another reader; the changes that they fetched across the list had no removal of it, and no event follows.

Ruled out: the watch after the list, which begins at its position; the store's own history, which the reader does not ask for after a list.

Change: the answer to a host that is behind the last list names all keys that exist; the host drops the others. A list counts as a change, so that the group asks once after it. Values go only where they have changed, so that a list costs each host of the group its keys.

The expectation of TestReplaceRemovesWhatIsNotListed has the keys, too.

--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -31,7 +31,30 @@
 	s := mirror.NewState()
 	s.Replace(5, []mirror.Entry{entry("a", 3), entry("b", 4)})
 	s.Replace(9, []mirror.Entry{entry("b", 4)})
-	assert.DeepEqual(t, s.Since(5), mirror.Delta{Position: 9, Entries: []mirror.Entry{{Key: "a", Revision: 9, Deleted: true}}})
+	assert.DeepEqual(t, s.Since(5), mirror.Delta{Position: 9, Entries: []mirror.Entry{{Key: "a", Revision: 9, Deleted: true}}, Keys: []string{"b"}})
+	assert.DeepEqual(t, s.Since(9), mirror.Delta{Position: 9})
+}
+
+// Guards against an entry that is kept for ever by a host that heard of it elsewhere: it came
+// and went between two lists.
+func TestHostBehindAListHearsOfAllKeys(t *testing.T) {
+	reader, follower := mirror.NewState(), mirror.NewState()
+	reader.Replace(5, []mirror.Entry{entry("a", 3)})
+	follower.Replace(5, []mirror.Entry{entry("a", 3)})
+	follower.Advance(6, []mirror.Entry{entry("gone", 6), entry("newer", 12)})
+	reader.Replace(9, []mirror.Entry{entry("a", 3)})
+	_, changed := reader.Position()
+	assert.Equal(t, changed, uint64(9))
+	delta := reader.Since(6)
+	assert.Assert(t, !delta.Complete)
+	follower.Retain(delta.Position, delta.Keys)
+	follower.Advance(delta.Position, delta.Entries)
+	var keys []string
+	for _, e := range follower.Since(0).Entries {
+		keys = append(keys, e.Key)
+	}
+	assert.DeepEqual(t, keys, []string{"a", "newer"})
+	assert.DeepEqual(t, follower.Since(6).Keys, keys)
 }
 
 // The pages of a list are no snapshot: an entry may be newer than the position. A peer
--- a/mirror/state.go
+++ b/mirror/state.go
@@ -23,6 +23,9 @@
 	Position uint64 // of the source; all changes up to it are applied
 	Complete bool   // Entries is the whole content: other keys don't exist
 	Entries  []Entry
+	// Keys are all keys at the position, if entries may have come and gone unnoticed between
+	// two lists of the source; nil otherwise.
+	Keys []string
 }
 
 // maxTombstones limits the removals that are remembered. A peer that is behind the
@@ -37,6 +40,7 @@
 	position uint64
 	changed  uint64 // revision of the last change that matters
 	floor    uint64 // tombstones up to this revision are forgotten
+	listed   uint64 // position of the last list; removals before it may be missing
 }
 
 // NewState returns a state without entries.
@@ -70,21 +74,37 @@
 	defer s.mu.Unlock()
 	if s.position == 0 {
 		// What was removed before is not known, so peers that are behind need everything.
-		s.floor, s.changed = position, max(s.changed, position)
+		s.floor = position
 	}
-	listed := make(map[string]bool, len(entries))
+	keys := make([]string, 0, len(entries))
 	for _, e := range entries {
-		listed[e.Key] = true
+		keys = append(keys, e.Key)
 		s.put(e)
 	}
+	s.retain(position, keys)
+	s.position = max(s.position, position)
+	s.forget()
+}
+
+// Retain records that only these keys exist at a position. Entries that are newer are kept.
+func (s *State) Retain(position uint64, keys []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.retain(position, keys)
+}
+
+func (s *State) retain(position uint64, keys []string) {
+	exists := make(map[string]bool, len(keys))
+	for _, key := range keys {
+		exists[key] = true
+	}
 	for key, e := range s.entries {
-		if !listed[key] && !e.Deleted && e.Revision <= position {
+		if !exists[key] && !e.Deleted && e.Revision <= position {
 			s.entries[key] = Entry{Key: key, Revision: position, Deleted: true}
-			s.changed = max(s.changed, position)
 		}
 	}
-	s.position = max(s.position, position)
-	s.forget()
+	// A key may have come and gone since the position before, which peers may know.
+	s.listed, s.changed = max(s.listed, position), max(s.changed, position)
 }
 
 func (s *State) put(e Entry) {
@@ -129,7 +149,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	d := Delta{Position: s.position, Complete: position < s.floor || position == 0}
+	missed := !d.Complete && position < s.listed
 	for _, e := range s.entries {
+		if missed && !e.Deleted {
+			d.Keys = append(d.Keys, e.Key)
+		}
 		needed := e.Revision > position
 		if d.Complete {
 			needed = !e.Deleted
@@ -139,6 +163,7 @@
 		}
 	}
 	slices.SortFunc(d.Entries, func(a, b Entry) int { return strings.Compare(a.Key, b.Key) })
+	slices.Sort(d.Keys)
 	return d
 }
 
--- a/peering/fetch.go
+++ b/peering/fetch.go
@@ -66,6 +66,7 @@
 	delta := s.parts.Mirror.Since(request.Msg.GetPosition())
 	response := &loadv1.FetchResponse{
 		Position: delta.Position, Complete: delta.Complete, AgeMs: ageMillis(age), RecoveredMs: ageMillis(s.parts.SourceOutageAge()),
+		Keys: delta.Keys,
 	}
 	for _, e := range delta.Entries {
 		out := &loadv1.Entry{Key: e.Key, Value: e.Value, Revision: e.Revision, Deleted: e.Deleted}
@@ -118,7 +119,7 @@
 	}
 	m := response.Msg
 	f := Fetched{
-		Delta:     mirror.Delta{Position: m.GetPosition(), Complete: m.GetComplete()},
+		Delta:     mirror.Delta{Position: m.GetPosition(), Complete: m.GetComplete(), Keys: m.GetKeys()},
 		AsOf:      requestedAt - time.Duration(min(m.GetAgeMs(), maxAgeMillis))*time.Millisecond,
 		Recovered: time.Duration(min(m.GetRecoveredMs(), maxAgeMillis)) * time.Millisecond,
 	}
