host: a retry of a begun answer isn't refused for its estimate

Change: a request that may have run waits for capacity until its deadline.

The expectation of TestResumeAfterProgressTimeout names the new field.

--- a/attempt/action.go
+++ b/attempt/action.go
@@ -21,6 +21,7 @@
 	Avoid        []upstream.Name // upstreams of earlier attempts
 	ResumeOffset uint64          // tokens already delivered to the caller
 	Deadline     time.Time
+	MayHaveRun   bool // an earlier attempt may have run
 }
 
 // Send asks the host package to send the request immediately. The host package
--- a/attempt/machine.go
+++ b/attempt/machine.go
@@ -245,6 +245,7 @@
 		Avoid:        append([]upstream.Name(nil), m.avoid...),
 		ResumeOffset: m.answer.tokens,
 		Deadline:     m.options.Deadline,
+		MayHaveRun:   m.MayHaveRun(),
 	}
 }
 
--- a/attempt/machine_test.go
+++ b/attempt/machine_test.go
@@ -87,7 +87,7 @@
 	m.FrameReceived(start, upstream.Frame{Attempt: first, Text: "one ", Tokens: 1})
 	actions := m.TimerFired(start.Add(testProgress))
 	assert.DeepEqual(t, actions[0], Cancel{Attempt: first, Upstream: "engine-1"})
-	assert.DeepEqual(t, actions[2], Choose{Number: 2, Avoid: []upstream.Name{"engine-1"}, ResumeOffset: 1, Deadline: start.Add(testDeadline)})
+	assert.DeepEqual(t, actions[2], Choose{Number: 2, Avoid: []upstream.Name{"engine-1"}, ResumeOffset: 1, Deadline: start.Add(testDeadline), MayHaveRun: true})
 	send := m.Chosen(start.Add(testProgress), "engine-2")[1].(Send)
 	assert.Equal(t, send.ResumeText, "one ")
 	assert.Assert(t, send.Fresh)
--- a/balancer/request.go
+++ b/balancer/request.go
@@ -18,6 +18,9 @@
 	Team          string
 	Deadline      time.Time
 	Avoid         []upstream.Name // engines that must not be chosen
+	// MayHaveRun tells that an earlier attempt may have run. A refusal would not be one
+	// that the caller can rely on, so the request waits for capacity while it has time.
+	MayHaveRun bool
 }
 
 // Memory returns the KV memory that the request asks for, in tokens.
--- a/host/completion.go
+++ b/host/completion.go
@@ -240,7 +240,7 @@
 func (r *completionRun) chooseUpstream(a attempt.Choose) {
 	r.closeAttempt()
 	request := *r.request
-	request.Avoid = a.Avoid
+	request.Avoid, request.MayHaveRun = a.Avoid, a.MayHaveRun
 	notBefore := r.retries.notBefore
 	go func() {
 		ctxtime.Sleep(r.requestCtx, time.Until(notBefore))
--- a/host/queue.go
+++ b/host/queue.go
@@ -74,12 +74,15 @@
 	q.next++
 	item := limit.Item{
 		ID: q.next, Team: w.request.Team, Weight: weight, Class: w.request.Class, Tokens: w.request.Memory(),
-		Deadline: w.request.Deadline, MinRunTime: p.estimate.expectedDuration(w.request),
-	}
-	// The deadline of a queue item includes the estimated run, so the run is
-	// added to the end of the queue time.
-	if end := now.Add(queueTime + item.MinRunTime); end.Before(item.Deadline) {
-		item.Deadline = end
+		Deadline: w.request.Deadline, NoEstimate: w.request.MayHaveRun,
+	}
+	if !item.NoEstimate {
+		item.MinRunTime = p.estimate.expectedDuration(w.request)
+		// The deadline of a queue item includes the estimated run, so the run is
+		// added to the end of the queue time.
+		if end := now.Add(queueTime + item.MinRunTime); end.Before(item.Deadline) {
+			item.Deadline = end
+		}
 	}
 	evicted, err := q.fair.Push(now, item)
 	for _, victim := range evicted {
--- a/limit/fairqueue.go
+++ b/limit/fairqueue.go
@@ -30,6 +30,7 @@
 	Tokens     uint64
 	Deadline   time.Time
 	MinRunTime time.Duration // least time that the request needs after it leaves the queue
+	NoEstimate bool          // it may wait until its deadline, whatever the estimated wait is
 
 	start  float64 // virtual time
 	finish float64 // virtual time
@@ -76,7 +77,7 @@
 // also those returned with an error. Refused and evicted items have not run.
 func (q *FairQueue) Push(now time.Time, item Item) (evicted []Item, err error) {
 	wait := q.Wait(now, item.Class)
-	if now.Add(wait + item.MinRunTime).After(item.Deadline) {
+	if !item.NoEstimate && now.Add(wait+item.MinRunTime).After(item.Deadline) {
 		return nil, code.New(code.DeadlineTooShort, "estimated wait of %v exceeds the deadline", wait.Round(time.Millisecond))
 	}
 	for q.full(item.Tokens) {
