--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -169,8 +169,8 @@
 // bufferBytes is the size of the buffers that hosts read streams with.
 const bufferBytes = 4096
 
-// drawStream makes the request one for a stream, of lines that may fill buffers, and of a
-// caller that may be slow.
+// drawStream turns the request into a stream. Its lines may fill buffers, and its caller
+// may be slow.
 func (c *crowd) drawStream(r *request, rng *rand.Rand) {
 	name := "stream-once"
 	if rng.Float64() < 0.8 {
@@ -184,8 +184,8 @@
 	}
 }
 
-// resume makes the request of a caller whose stream broke off, at any host. It returns nil
-// if the stream can't be resumed.
+// resume returns the request with which a caller goes on with a stream that broke off, at
+// any host, or nil if the stream can't be resumed.
 func (c *crowd) resume(broken *request, rng *rand.Rand) *request {
 	if !broken.repeatable || !broken.stream || broken.answer.Err == nil || broken.answer.Status != http.StatusOK || !broken.leftAt.IsZero() {
 		return nil
--- a/mirror/state.go
+++ b/mirror/state.go
@@ -23,8 +23,8 @@
 	Position uint64 // of the source; all changes up to it are applied
 	Complete bool   // Entries is the whole content: other keys don't exist
 	Entries  []Entry
-	// Keys are all keys at the position, if entries may have come and gone unnoticed between
-	// two lists of the source; nil otherwise.
+	// Keys are all keys at the position, if the sender has listed the source since the
+	// requested position and may have missed removals; nil otherwise.
 	Keys []string
 }
 
@@ -40,7 +40,7 @@
 	position uint64
 	changed  uint64 // revision of the last change that matters
 	floor    uint64 // tombstones up to this revision are forgotten
-	listed   uint64 // position of the last list; removals before it may be missing
+	listed   uint64 // position of the last list; removals before it may be unknown
 }
 
 // NewState returns a state without entries.
@@ -103,7 +103,7 @@
 			s.entries[key] = Entry{Key: key, Revision: position, Deleted: true}
 		}
 	}
-	// A key may have come and gone since the position before, which peers may know.
+	// Peers may know keys that came and went unnoticed here since the previous position.
 	s.listed, s.changed = max(s.listed, position), max(s.changed, position)
 }
 
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -68,8 +68,8 @@
 	return a, nil
 }
 
-// startTimer starts the timeout of the attempt. The timer is set after the field, which
-// onTimeout uses: a process may be suspended between the two.
+// startTimer starts the timeout of the attempt. The timer is set only once it is stored,
+// because onTimeout uses the field and a process may be suspended in between.
 func (a *attempt) startTimer(timeout time.Duration) {
 	a.timer = time.AfterFunc(math.MaxInt64, a.onTimeout)
 	a.timer.Reset(timeout)
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -211,8 +211,8 @@
 	}
 }
 
-// continues reports whether an event with this identifier may follow the last one that the
-// caller has. Identifiers rise; those that are no numbers must differ.
+// continues reports whether an event with this identifier may follow the last event that
+// the caller has. Identifiers rise; those that are not numbers must at least differ.
 func (x *exchange) continues(id string) bool {
 	last := x.call.LastEvent
 	if id == "" || last == "" || x.events == 0 && !x.route.Repeatable() {
