relay: logs and metrics name what marks the end of an answer

Change: the line of a request and of a failed attempt name the framing of the answer (length, chunks, connection); relay_answers counts answers of upstreams by it.

--- a/metrics/relay.go
+++ b/metrics/relay.go
@@ -13,6 +13,7 @@
 // relayInstruments are the instruments of the relay package.
 type relayInstruments struct {
 	requests   metric.Int64Counter
+	answers    metric.Int64Counter
 	retries    metric.Int64Counter
 	duration   metric.Float64Histogram
 	first      metric.Float64Histogram
@@ -31,6 +32,7 @@
 func (b *builder) relay() relayInstruments {
 	return relayInstruments{
 		requests:   b.counter("relayed_requests", "", "Relayed requests by kind and result code."),
+		answers:    b.counter("relay_answers", "", "Answers of upstreams to relayed requests, by kind and by what marks their end."),
 		retries:    b.counter("relay_retries", "", "Attempts after the first of relayed requests, by the code before them."),
 		duration:   b.seconds("relay_duration", "Time from the arrival of a relayed request to its end.", relayBuckets),
 		first:      b.seconds("relay_first_event", "Time from the arrival of a relayed request to its first event.", relayBuckets),
@@ -53,6 +55,14 @@
 	m.relay.duration.Record(context.Background(), took.Seconds(), metric.WithAttributes(attribute.String("kind", kind)))
 }
 
+// RelayAnswered counts one answer of an upstream by what marks its end.
+func (m *Metrics) RelayAnswered(kind, framing string) {
+	if m == nil {
+		return
+	}
+	m.relay.answers.Add(context.Background(), 1, metric.WithAttributes(attribute.String("kind", kind), attribute.String("framing", framing)))
+}
+
 // RelayFirstEvent records the time to the first event of a relayed request
 // and the prediction error. The prediction is in seconds; 0 means none.
 func (m *Metrics) RelayFirstEvent(kind string, after time.Duration, predicted float64) {
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -49,6 +49,7 @@
 	x.attempts++
 	x.runs++
 	x.tried = append(x.tried, params.Upstream.ID)
+	x.framing = ""
 	a.takeFailOver = x.failOverCheck()
 	a.answerStarted.Store(x.answerStarted)
 	a.startTimer(timeout)
@@ -60,6 +61,8 @@
 	}
 	a.response = response
 	a.answer = x.s.dialect.Answer(response.StatusCode, response.Header)
+	x.framing = a.framing()
+	x.s.metrics.RelayAnswered(x.route.Kind.String(), string(x.framing))
 	x.s.recordLimit(params.Upstream, a.answer)
 	if err := a.checkAnswer(); err != nil {
 		a.close()
@@ -212,7 +215,7 @@
 		return
 	}
 	x.s.log.Emit(event.AttemptFailed).Str("request", x.call.ID).Str("upstream", upstream.ID).
-		Int("attempt", x.attempts).Int("events", x.events-eventsBefore).Strs("parts", partNames(x.call.Parts)).Err(err).Msg("")
+		Int("attempt", x.attempts).Str("framing", string(x.framing)).Int("events", x.events-eventsBefore).Strs("parts", partNames(x.call.Parts)).Err(err).Msg("")
 }
 
 // partNames returns the identifiers of prompt parts as logs and dumps show them.
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -60,6 +60,7 @@
 	helperAtFault  bool          // a helper of the latest attempt caused its refusal
 	placedAt       time.Duration
 	status         int
+	framing        framing // of the latest answer
 	result         error
 	notes          []string // errors of the attempts, for the log line
 	abort          bool     // the connection to the caller must be aborted
@@ -291,6 +292,9 @@
 			line = line.Dur("first", x.firstAt-x.arrived).Dur("pause", x.maxGap)
 		}
 	}
+	if x.framing != "" {
+		line = line.Str("framing", string(x.framing))
+	}
 	if len(x.notes) > 0 {
 		line = line.Strs("notes", x.notes)
 	}
--- a/relay/unframed.go
+++ b/relay/unframed.go
@@ -11,6 +11,26 @@
 // errProcessGone is returned for an answer without a framed end whose upstream has gone.
 var errProcessGone = errors.New("connection ended without a framed end of the answer, and the upstream refuses new ones")
 
+// framing tells how the end of an answer is marked, for logs and metrics.
+type framing string
+
+const (
+	framedByLength     framing = "length"
+	framedByChunks     framing = "chunks"
+	framedByConnection framing = "connection" // it ends with its connection
+)
+
+func (a *attempt) framing() framing {
+	switch {
+	case a.unframed():
+		return framedByConnection
+	case a.response.ContentLength < 0:
+		return framedByChunks
+	default:
+		return framedByLength
+	}
+}
+
 // unframed reports whether the answer ends with its connection.
 func (a *attempt) unframed() bool {
 	return a.response.ContentLength < 0 && len(a.response.TransferEncoding) == 0 && a.response.Body != http.NoBody
