--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -40,7 +40,10 @@
 }
 
 // streamActs are faults of streams.
-var streamActs = []act{{"spoil the streams of an upstream", 12, false, (*world).spoilStreams}}
+var streamActs = []act{
+	{"spoil the streams of an upstream", 12, false, (*world).spoilStreams},
+	{"end an upstream in the middle of its streams", 12, false, (*world).dieInStreams},
+}
 
 // spoilStreams lets an upstream break its streams off, and resume others wrongly.
 func (w *world) spoilStreams(rng *rand.Rand) {
@@ -58,6 +61,55 @@
 	u.replica.SetStreamFault(platformtest.StreamFault{})
 }
 
+// aftermath is what callers find at the address of an upstream whose process has ended.
+type aftermath int
+
+const (
+	connectionsAreReset aftermath = iota
+	connectionsHang
+	anotherProcess     // at once
+	anotherProcessLate // after a moment
+	sameIDAgain        // a process that takes the identifier of the one before
+	aftermaths
+)
+
+// dieInStreams ends the process of an upstream whose streams have neither a length nor
+// chunks, mostly. Their connections end as at the end of a whole stream.
+func (w *world) dieInStreams(rng *rand.Rand) {
+	framed := rng.IntN(4) == 0
+	warm := between(rng, 500*time.Millisecond, 2500*time.Millisecond)
+	after := aftermath(rng.IntN(int(aftermaths)))
+	down := between(rng, 100*time.Millisecond, 2*time.Second)
+	u := w.claimUpstream(rng)
+	if u == nil {
+		return
+	}
+	defer w.freeUpstream(u)
+	defer w.disturb("")()
+	u.replica.SetStreamFault(platformtest.StreamFault{Unframed: !framed})
+	time.Sleep(warm)
+	id := w.die(u)
+	switch after {
+	case anotherProcess:
+		w.startReplica(u)
+		w.store.RemoveServer(id)
+		return
+	case sameIDAgain:
+		w.startReplicaAs(u, id)
+		return
+	case anotherProcessLate:
+		down = 200 * time.Millisecond
+	case connectionsHang:
+		time.Sleep(5 * time.Millisecond) // until the ends of the streams have passed the proxy
+		u.proxy.Set(faultproxy.Fault{HoldToServer: true, HoldToClient: true})
+		defer u.proxy.Set(faultproxy.Fault{})
+	case connectionsAreReset:
+	}
+	time.Sleep(down)
+	w.store.RemoveServer(id)
+	w.startReplica(u)
+}
+
 // pick draws an act.
 func (p *plan) pick(rng *rand.Rand, plannedOnly bool) act {
 	list := slices.DeleteFunc(slices.Clone(p.acts), func(a act) bool { return plannedOnly && !a.planned })
--- a/internal/soak/host_test.go
+++ b/internal/soak/host_test.go
@@ -87,7 +87,7 @@
 		h.w.book.violate("harness", "open the output of %s: %v", h.name, err)
 		return
 	}
-	command := testproc.Command(filepath.Join(binaries, "citronrelay"), "--settings", h.settings)
+	command := testproc.Command(relayBinary, "--settings", h.settings)
 	command.Stdout, command.Stderr = out, out
 	if err := command.Start(); err != nil {
 		h.w.book.violate("harness", "start %s: %v", h.name, err)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -6,12 +6,16 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/citronscale/citronscale/platform/platformtest"
 )
 
 var (
@@ -20,6 +24,7 @@
 	hostCount = flag.Int("soak.hosts", 4, "entry hosts of a run")
 	actors    = flag.Int("soak.actors", 5, "acts that may go on at a time")
 	planned   = flag.Duration("soak.planned", 6*time.Second, "time of planned work alone")
+	relayPath = flag.String("soak.relay", "", "program to play, such as one of an earlier commit (default: built from this tree)")
 	replayed  = flag.Bool("soak.kept", false, "play the seeds that once failed as well")
 	faults    = flag.Duration("soak.faults", 10*time.Second, "time of faults and planned work")
 )
@@ -30,7 +35,8 @@
 	leaseTime  = 4 * time.Second // until memory that nobody renews is free
 )
 
-var binaries string
+// relayBinary is the path of the program that is played.
+var relayBinary string
 
 func TestMain(m *testing.M) {
 	flag.Parse()
@@ -44,7 +50,11 @@
 		return 1
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
-	binaries = dir
+	relayBinary = filepath.Join(dir, "citronrelay")
+	if *relayPath != "" {
+		relayBinary = *relayPath
+		return m.Run()
+	}
 	if out, err := exec.Command("go", "build", "-o", dir+"/", "../../cmd/citronrelay").CombinedOutput(); err != nil {
 		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
 		return 1
@@ -180,8 +190,12 @@
 		}
 	}
 	broken, byHost, byCaller := 0, 0, 0
+	cases := map[string]int{}
 	for i := range requests {
 		r := &requests[i]
+		if text := w.orderCase(r); text != "" {
+			cases[text]++
+		}
 		whole := r.answer.Err == nil && r.answer.Status == http.StatusOK
 		switch {
 		case r.answer.Status == http.StatusOK && !whole:
@@ -194,6 +208,28 @@
 		}
 	}
 	w.logf("streams that callers saw broken: %d; completed by more than one run: %d; completed for callers that came again: %d", broken, byHost, byCaller)
+	w.logf("streams that are not what they should be, by symptom and last run: %v", cases)
+}
+
+// orderCase tells what is wrong with a stream that ended as complete and how its last run
+// ended, or returns the empty string.
+func (w *world) orderCase(r *request) string {
+	if !r.stream || r.answer.Err != nil || r.answer.Status != http.StatusOK || r.answer.Type == platformtest.TextType || r.answer.Body == r.wholeStream() {
+		return ""
+	}
+	symptom := "doesn't fit"
+	if strings.HasPrefix(r.wholeStream(), r.answer.Body) {
+		symptom = "ends early"
+	}
+	var last platformtest.Run
+	for _, replica := range w.replicas() {
+		for _, run := range replica.Runs() {
+			if run.RequestID() == r.ID && run.Began.After(last.Began) {
+				last = run
+			}
+		}
+	}
+	return fmt.Sprintf("%s, run unframed %t, whole %t", symptom, last.Unframed, last.Whole)
 }
 
 // report logs what became of the requests.
--- a/internal/soak/start_test.go
+++ b/internal/soak/start_test.go
@@ -24,7 +24,7 @@
 		text := fmt.Sprintf("host = \"host-1\"\n[listen]\ncallers = \"%[1]s:%[2]d\"\nreadiness = \"%[1]s:%[3]d\"\n[peers]\naddress = \"%[1]s:%[4]d\"\n[platform]\nstore = \"%[1]s:1\"\n[stop]\ngrace_s = 0.5\n",
 			address, portCallers, portReadiness, portPeers)
 		assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
-		command := testproc.Command(filepath.Join(binaries, "citronrelay"), "--settings", path)
+		command := testproc.Command(relayBinary, "--settings", path)
 		out, err := command.StdoutPipe()
 		assert.NilError(t, err)
 		assert.NilError(t, command.Start())
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -190,6 +190,13 @@
 	w.mu.Lock()
 	w.nextReplica++
 	id := fmt.Sprintf("%s-%d", u.service, w.nextReplica)
+	w.mu.Unlock()
+	w.startReplicaAs(u, id)
+}
+
+// startReplicaAs starts a replica under an id, which the one before may have had.
+func (w *world) startReplicaAs(u *upstream, id string) {
+	w.mu.Lock()
 	if u.replica != nil {
 		w.past = append(w.past, u.replica)
 	}
@@ -217,6 +224,15 @@
 	return id
 }
 
+// die ends the replica of a place without a reset of its connections.
+func (w *world) die(u *upstream) (id string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	u.proxy.SetTarget("127.0.0.1:1") // nothing listens there
+	u.replica.Die()
+	return u.replica.ID
+}
+
 // replicas returns all that ever lived.
 func (w *world) replicas() []*platformtest.Replica {
 	w.mu.Lock()
