relay: an unframed answer is whole only if its process is still there

Cause: the end of a connection was taken for the end of an answer unless the address refused one new connection at that moment. Class of fault: silence of the other side was read as its consent; a dial that is accepted, hangs or fails otherwise says nothing of the process.

Change: a process is asked who it is, by its report (field born) and else by a health check (its id). Streams ask at the head of the answer, at the end, and 0.15 s later; plain answers at the end, against the born of the entry. Another start, another id, a refusal, a reset or no answer within 0.5 s: the answer has broken off and is resumed, repeated or cut as its route allows. Where something answers that tells nothing of itself, a stream that may be resumed is asked for after its last event; the rest counts as complete. Weighed: a further run after each unframed stream finds also a process that breaks off one answer and lives on, but prefills each prompt twice; the number of tokens asked for is an upper bound that tells nothing; a held connection would double the connections of upstreams.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -32,6 +32,7 @@
 	AttemptStarted  = Event{210, "attempt started", log.DebugLevel, "A request is sent to an upstream.", ""}
 	AttemptFailed   = Event{211, "attempt failed", log.WarnLevel, "An attempt ended without a whole answer.", "Look at the upstream that the line names."}
 	StreamResumed   = Event{214, "stream resumed", log.InfoLevel, "A stream broke off and goes on at another upstream.", "Look at the upstream that broke off."}
+	UnframedEnd     = Event{215, "unframed end", log.InfoLevel, "An answer ended with its connection; the line holds what its process said of itself, and why the answer counts as broken off if it does.", "Let the upstream send a length or chunks."}
 	LinesDropped    = Event{220, "lines dropped", log.WarnLevel, "Log lines were left out to keep the volume bounded.", "Read the metrics for the time of the line."}
 	RequestRelayed  = Event{213, "request relayed", log.InfoLevel, "A request ended; the line holds its route, its upstreams and what decided.", "Look up the code."}
 	AttemptRetried  = Event{212, "attempt retried", log.InfoLevel, "The request goes to another upstream.", ""}
@@ -80,7 +81,7 @@
 	CertificatesReloaded, CertificatesInvalid,
 	SettingsReloaded, SettingsInvalid, ListenerFailed, RequestsCut, OutputFailed,
 	RequestAdmitted, RequestFinished, RequestRefused, RequestFailed,
-	AttemptStarted, AttemptFailed, AttemptRetried, RequestRelayed, StreamResumed, LinesDropped,
+	AttemptStarted, AttemptFailed, AttemptRetried, RequestRelayed, StreamResumed, UnframedEnd, LinesDropped,
 	ConfigAccepted, ConfigRejected, ConfigOlder, ConfigSourceDown, ConfigSourceBack,
 	ConfigStale, ConfigFresh, EntryUnreadable, HistoryLost,
 	PeerJoined, PeerSuspect, PeerLost, PeerLeaving, AnnouncementUnreadable, PeerFetchFailed,
--- a/fleet/set.go
+++ b/fleet/set.go
@@ -23,13 +23,16 @@
 
 // Upstream is the published state of one process that runs requests.
 type Upstream struct {
-	ID            string // identifies one start of the process
+	ID            string // of one start of the process, mostly
 	Service       string
 	Address       string // IP:port
 	FailureDomain string
 	Slots         int           // requests that it runs at the same time
 	WarmUp        time.Duration // remaining time of its slow start
 	Draining      bool
+	// Started is the start of the process in Unix milliseconds of its own clock, or 0 if it
+	// doesn't say. A process may take over the identifier of the one before.
+	Started int64
 }
 
 type member struct {
--- a/internal/relayd/daemon.go
+++ b/internal/relayd/daemon.go
@@ -122,7 +122,7 @@
 		WriteTimeout: writeTimeout,
 		AdmitLeaving: time.Duration(admitShare * float64(settings.gracePeriod())),
 	}, relay.Parts{
-		Dialect: platform.Headers{}, Memory: platform.NewMemory(), Routes: d.routes, Upstreams: d.upstreams, Ledger: d.ledger,
+		Dialect: platform.Headers{}, Memory: platform.NewMemory(), Identifier: platform.NewIdentifier(), Routes: d.routes, Upstreams: d.upstreams, Ledger: d.ledger,
 		Peers: d.node, Quarantine: d.quarantine, Limits: d.limits, Log: d.log, Metrics: d.metrics, Rng: newRng(),
 	})
 	return d, nil
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -37,6 +37,7 @@
 	unnumbered    atomic.Bool // the caller has an event without an identifier
 	response      *http.Response
 	answer        Answer
+	asked         <-chan Identity // of the process of an unframed stream, nil if it isn't asked
 }
 
 // send sends the request and waits for the headers of the answer. The code of
@@ -68,6 +69,7 @@
 		a.close()
 		return nil, err
 	}
+	a.watchIdentity()
 	return a, nil
 }
 
--- /dev/null
+++ b/relay/identity.go
@@ -0,0 +1,28 @@
+package relay
+
+import (
+	"context"
+
+	"github.com/citronscale/citronscale/fleet"
+)
+
+// Identity is what a process says of itself.
+type Identity struct {
+	// Known tells that the process has the identifier that discovery gave for it.
+	Known bool
+	// Started is the start of the process in Unix milliseconds of its own clock, or 0 if it
+	// doesn't say. A process may take over the identifier of the one before.
+	Started int64
+}
+
+// sameProcess reports whether both can be of one process.
+func (i Identity) sameProcess(other Identity) bool {
+	return i.Started == 0 || other.Started == 0 || i.Started == other.Started
+}
+
+// Identifier asks processes who they are.
+type Identifier interface {
+	// Identify asks the process at the address of an upstream. It fails if no process with
+	// the identifier of the upstream answers there.
+	Identify(ctx context.Context, u fleet.Upstream, healthPath string) (Identity, error)
+}
--- a/relay/server.go
+++ b/relay/server.go
@@ -41,6 +41,7 @@
 	options    Options
 	dialect    Dialect
 	memory     Memory
+	identifier Identifier
 	started    int64 // start in Unix milliseconds, part of the reservation identifiers
 	routes     *route.Holder
 	upstreams  *fleet.Set
@@ -69,6 +70,7 @@
 type Parts struct {
 	Dialect    Dialect
 	Memory     Memory
+	Identifier Identifier
 	Routes     *route.Holder
 	Upstreams  *fleet.Set
 	Ledger     *place.Ledger
@@ -83,7 +85,7 @@
 // New returns a server. It is ready once Parts.Routes holds a table.
 func New(options Options, parts Parts) *Server {
 	return &Server{
-		options: options, dialect: parts.Dialect, memory: parts.Memory, started: time.Now().UnixMilli(), routes: parts.Routes, upstreams: parts.Upstreams,
+		options: options, dialect: parts.Dialect, memory: parts.Memory, identifier: parts.Identifier, started: time.Now().UnixMilli(), routes: parts.Routes, upstreams: parts.Upstreams,
 		ledger: parts.Ledger, quarantine: parts.Quarantine, limits: parts.Limits, peers: parts.Peers, log: parts.Log, metrics: parts.Metrics,
 		buffers:   buffer.NewPool(options.BufferBytes),
 		transport: newTransport(), lines: newLineLimiter(), rng: parts.Rng, budgets: map[string]*serviceBudget{},
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -168,7 +168,7 @@
 			if begun == 0 && a.unframed() {
 				return a.connectionError(errNoEvent)
 			}
-			if err := a.unframedEnd(); err != nil {
+			if err := a.unframedEnd(confirmStreamAfter); err != nil {
 				return err
 			}
 			if !recorded && begun > 0 {
--- a/relay/unframed.go
+++ b/relay/unframed.go
@@ -3,13 +3,30 @@
 import (
 	"context"
 	"errors"
-	"net"
+	"fmt"
 	"net/http"
-	"syscall"
+	"time"
+
+	"github.com/citronscale/citronscale/event"
+	"github.com/citronscale/citronscale/internal/ctxtime"
+	"github.com/citronscale/citronscale/route"
 )
 
-// errProcessGone is returned for an answer without a framed end whose upstream has gone.
-var errProcessGone = errors.New("connection ended without a framed end of the answer, and the upstream refuses new ones")
+// errProcessGone is returned for an answer without a framed end whose process has gone.
+var errProcessGone = errors.New("connection ended without a framed end of the answer, and its process doesn't answer any more")
+
+// errEndUnconfirmed is returned for a stream without a framed end from an upstream that says
+// nothing of itself. Another attempt after the last event tells whether there is more.
+var errEndUnconfirmed = errors.New("connection ended without a framed end of the stream, and the upstream doesn't identify itself")
+
+const (
+	// identifyTimeout is several round trips to another failure domain. A process that is
+	// suspended or dead doesn't answer at all.
+	identifyTimeout = 500 * time.Millisecond
+	// confirmStreamAfter is the time after which a process that has ended no longer answers.
+	// Only the end of a stream waits for it, its events don't.
+	confirmStreamAfter = 150 * time.Millisecond
+)
 
 // framing tells how the end of an answer is marked, for logs and metrics.
 type framing string
@@ -36,22 +53,72 @@
 	return a.response.ContentLength < 0 && len(a.response.TransferEncoding) == 0 && a.response.Body != http.NoBody
 }
 
-// unframedEnd checks an answer that has ended with its connection. A process that crashes
-// closes its connections just as one that has sent everything does, but its listener is
-// closed, too.
-func (a *attempt) unframedEnd() error {
+// unframedEnd checks an answer that has ended with its connection. A process that ends
+// closes its connections just as one that has sent everything does, so the answer is whole
+// only if the process that began it is still there. With a confirmation time it is asked
+// once more after that time: a process that is ending may answer for a moment.
+func (a *attempt) unframedEnd(confirm time.Duration) error {
 	if !a.unframed() {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(a.ctx, dialTimeout)
-	defer cancel()
-	conn, err := new(net.Dialer).DialContext(ctx, "tcp", a.upstream.Address)
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		return a.connectionError(errProcessGone)
+	a.timer.Stop() // the upstream has nothing more to send
+	began := a.identityAtStart()
+	identity, err := a.identify()
+	if err == nil && confirm > 0 && ctxtime.Sleep(a.ctx, min(confirm, a.x.timeLeft()-minAttemptTime)) {
+		identity, err = a.identify()
+	}
+	switch {
+	case err != nil:
+		err = fmt.Errorf("%w: %w", errProcessGone, err)
+	case !identity.sameProcess(began):
+		err = fmt.Errorf("%w: the one at its address started at %d instead of %d", errProcessGone, identity.Started, began.Started)
+	case !identity.Known && a.x.route.Kind == route.Stream && a.x.route.Repeatable():
+		err = errEndUnconfirmed
 	}
+	a.logUnframedEnd(identity, err)
 	if err != nil {
-		return nil //nolint:nilerr // a path that is cut tells nothing of the process
+		return a.connectionError(err)
 	}
-	_ = conn.Close() // nothing was sent on it
 	return nil
 }
+
+// watchIdentity asks the process of an unframed stream who it is while the stream goes on.
+func (a *attempt) watchIdentity() {
+	if a.x.route.Kind != route.Stream || !a.unframed() {
+		return
+	}
+	asked := make(chan Identity, 1)
+	a.asked = asked
+	go func() {
+		identity, err := a.identify()
+		if err != nil {
+			identity = Identity{} // the end of the stream tells more
+		}
+		asked <- identity
+	}()
+}
+
+// identityAtStart returns what is known of the process that began the answer.
+func (a *attempt) identityAtStart() Identity {
+	if a.asked != nil {
+		if identity := <-a.asked; identity.Started != 0 {
+			return identity
+		}
+	}
+	return Identity{Started: a.upstream.Started}
+}
+
+func (a *attempt) identify() (Identity, error) {
+	ctx, cancel := context.WithTimeout(a.ctx, identifyTimeout)
+	defer cancel()
+	return a.x.s.identifier.Identify(ctx, a.upstream, a.x.service.HealthPath)
+}
+
+// logUnframedEnd logs what was taken for the end of an answer.
+func (a *attempt) logUnframedEnd(identity Identity, err error) {
+	if !a.x.s.lines.allow(err == nil, time.Now(), a.x.s.log) {
+		return
+	}
+	a.x.s.log.Emit(event.UnframedEnd).Str("request", a.x.call.ID).Str("upstream", a.upstream.ID).
+		Int("events", a.x.events).Bool("identified", identity.Known).Int64("started", identity.Started).Err(err).Msg("")
+}
--- a/route/config.go
+++ b/route/config.go
@@ -73,6 +73,7 @@
 type Service struct {
 	Name           string
 	MaxConnections int              // to one upstream, for all callers
+	HealthPath     string           // of the health checks of its upstreams
 	Engine         *costmodel.Costs // nil for plain services
 }
 
