relay: a cut stream looks cut to callers that speak HTTP/1.0

What callers see: a stream that breaks off ends for an HTTP/1.0 caller just as a whole one does.

Cause: HTTP/1.0 has no chunks, so the stream ends with the caller's connection; a cut stream, a planned stop and a killed process end it properly, too.

Ruled out: plain answers, which have a length; HTTP/1.1 callers, whose chunks end with a mark.

Change: the connection of such a caller is set to end with a reset when its stream begins, and to end properly once the stream is whole. The kernel keeps to that when the process is killed.

--- a/internal/relayd/listeners.go
+++ b/internal/relayd/listeners.go
@@ -41,7 +41,8 @@
 	operators.Handle("/metrics", d.metrics.Handler())
 	operators.HandleFunc("/dump", d.serveDump)
 	l.callers = &http.Server{
-		Handler: d.relay, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: d.relay, ConnContext: relay.ConnContext,
+		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
 	if err := l.serve(l.callers, d.settings.Listen.Callers); err != nil {
 		return nil, err
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -253,6 +253,9 @@
 	if err := x.write(comments); err != nil {
 		return code.New(code.CallerGone, "write to the caller: %w", err)
 	}
+	if err := x.closeWhole(); err != nil {
+		x.addNote("HTTP/1.0 caller: %v", err)
+	}
 	return nil
 }
 
@@ -262,6 +265,9 @@
 		header[name] = values
 	}
 	header.Del("Content-Length")
+	if err := x.resetUnlessWhole(); err != nil {
+		x.addNote("HTTP/1.0 caller: %v", err)
+	}
 	x.answerStarted = true
 	x.status = a.response.StatusCode
 	x.w.WriteHeader(x.status)
