relay: a planned stop takes no request that it would cut

Requests that wait for an upstream are passed on later still.

Cause: new requests were taken for 0.35 of the grace whatever their kind and their time, and nothing looked at the stop again before an attempt.

Ruled out: work of 30 ms and streams that end within the grace (handed-over runs, held).

Change: the package leaving decides, without clock and I/O, from the deadline of the request, the longest recent time of its route, and whether it may be repeated. A request that isn't expected to end before the cut is refused with Retry-After 0, at its arrival and before each attempt. Weighed: refusing all late requests costs callers a try while the balancer still lists the host; so one whose deadline fits, whose route took little time lately, or that may be repeated is taken as before.

Evidence: TestRequestThatOutlastsAPlannedStopIsRefused and TestRequestThatWaitedIsNotPassedOnLateInAPlannedStop failed before (200 and a second send) and hold. TestSoundRequestsAreServedDuringAPlannedStop holds before and after; TestFewRequestsAreRefusedOrCutByAPlannedStop plays the load of a stop.

--- a/internal/relayd/daemon.go
+++ b/internal/relayd/daemon.go
@@ -121,6 +121,7 @@
 		RetryWindow:  settings.retryWindow(),
 		WriteTimeout: writeTimeout,
 		AdmitLeaving: time.Duration(admitShare * float64(settings.gracePeriod())),
+		CutLeaving:   settings.gracePeriod() - stopMargin,
 	}, relay.Parts{
 		Dialect: platform.Headers{}, Memory: platform.NewMemory(), Identifier: platform.NewIdentifier(), Routes: d.routes, Upstreams: d.upstreams, Ledger: d.ledger,
 		Peers: d.node, Quarantine: d.quarantine, Limits: d.limits, Log: d.log, Metrics: d.metrics, Rng: newRng(),
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -56,6 +56,9 @@
 	if x.deadlineAt-now < minAttemptTime {
 		return nil, code.New(code.DeadlineBeforeStart, "%v left before the deadline", x.deadlineAt-now)
 	}
+	if err := x.checkLeaving(now); err != nil {
+		return nil, err
+	}
 	if err := x.checkQuarantine(); err != nil {
 		return nil, err
 	}
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -18,6 +18,7 @@
 	"github.com/citronscale/citronscale/fleet"
 	"github.com/citronscale/citronscale/internal/boottime"
 	"github.com/citronscale/citronscale/internal/buffer"
+	"github.com/citronscale/citronscale/leaving"
 	"github.com/citronscale/citronscale/route"
 	"github.com/citronscale/citronscale/strike"
 )
@@ -89,12 +90,33 @@
 		left = min(left, x.call.TimeLeft)
 	}
 	x.deadlineAt = x.arrived + left
-	if elapsed, leaving := x.s.leavingFor(x.arrived); leaving && elapsed > x.s.options.AdmitLeaving {
+	if elapsed, isLeaving := x.s.leavingFor(x.arrived); isLeaving && elapsed > x.s.options.AdmitLeaving {
 		return code.New(code.HostLeaving, "the planned stop began %v ago", elapsed)
 	}
+	if err := x.checkLeaving(x.arrived); err != nil {
+		return err
+	}
 	return x.readBody()
 }
 
+// checkLeaving refuses a request that isn't expected to end before a planned stop cuts it.
+// One whose caller has part of the answer goes on.
+func (x *exchange) checkLeaving(now time.Duration) error {
+	elapsed, isLeaving := x.s.leavingFor(now)
+	if !isLeaving || x.answerStarted || x.s.options.CutLeaving == 0 {
+		return nil
+	}
+	rest := x.s.options.CutLeaving - elapsed
+	request := leaving.Request{
+		Limit: x.deadlineAt - now, Usual: x.s.durations.Longest(x.route.Name, now), Repeatable: x.route.Repeatable(),
+	}
+	if request.Fits(rest) {
+		return nil
+	}
+	return code.New(code.HostLeaving, "requests in flight are cut in %v, and those of route %q took up to %v, with %v to the deadline of this one",
+		rest, x.route.Name, request.Usual, request.Limit)
+}
+
 // resolve finds the route of the request and the team of its caller in the current
 // table. If it fails, the exchange keeps those that it had.
 func (x *exchange) resolve() error {
@@ -264,6 +286,9 @@
 		x.logRequest(c, took)
 	}
 	x.recordMetrics(c, took)
+	if x.route != nil && x.runs > 0 && c != code.CallerGone {
+		x.s.durations.Record(x.route.Name, took, x.arrived+took)
+	}
 	if x.abort {
 		panic(http.ErrAbortHandler)
 	}
--- a/relay/options.go
+++ b/relay/options.go
@@ -26,6 +26,10 @@
 	WriteTimeout time.Duration
 	// AdmitLeaving is how long the server admits new requests after Leave.
 	AdmitLeaving time.Duration
+	// CutLeaving is the time after Leave at which requests in flight are cut; 0 means
+	// never. A request that isn't expected to end before is refused, also while it waits
+	// for an upstream.
+	CutLeaving time.Duration
 }
 
 const (
--- a/relay/server.go
+++ b/relay/server.go
@@ -11,6 +11,7 @@
 	"github.com/citronscale/citronscale/fleet"
 	"github.com/citronscale/citronscale/internal/boottime"
 	"github.com/citronscale/citronscale/internal/buffer"
+	"github.com/citronscale/citronscale/leaving"
 	"github.com/citronscale/citronscale/metrics"
 	"github.com/citronscale/citronscale/place"
 	"github.com/citronscale/citronscale/retry"
@@ -58,12 +59,13 @@
 	budgets   map[string]*serviceBudget // by service
 	leavingAt time.Duration             // when a planned stop began, 0 before
 
-	buffers  *buffer.Pool // of bodies and complete answers
-	inFlight atomic.Int64
-	placing  sync.Mutex // held while a stream is placed
-	nextID   atomic.Uint32
-	lines    *lineLimiter
-	stale    atomic.Bool
+	buffers   *buffer.Pool // of bodies and complete answers
+	inFlight  atomic.Int64
+	durations leaving.Durations
+	placing   sync.Mutex // held while a stream is placed
+	nextID    atomic.Uint32
+	lines     *lineLimiter
+	stale     atomic.Bool
 }
 
 // Parts are the components that a Server uses.
@@ -139,7 +141,7 @@
 	defer x.bodyMemory.Release()
 	defer x.answerMemory.Release()
 	x.clearDeadlines()
-	if _, leaving := s.leavingFor(x.arrived); leaving {
+	if _, isLeaving := s.leavingFor(x.arrived); isLeaving {
 		w.Header().Set("Connection", "close")
 	}
 	if err := x.admit(); err != nil {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -81,6 +81,9 @@
 	if x.timeLeft() < minAttemptTime {
 		return nil, code.New(code.DeadlineBeforeStart, "%v left before the deadline", x.timeLeft())
 	}
+	if err := x.checkLeaving(boottime.Now()); err != nil {
+		return nil, fmt.Errorf("%w: %w", errNotPlaced, err)
+	}
 	if err := x.checkQuarantine(); err != nil {
 		return nil, fmt.Errorf("%w: %w", errNotPlaced, err)
 	}
