relay: lines of a stream may end with a carriage return alone

Cause: the reader of events knew line feeds only, so it waited for one to the end.

Change: a line ends with a line feed, a carriage return or both. An event is passed on at its last carriage return; a line feed that follows later goes with the next event.

Evidence: TestLinesMayEndWithACarriageReturn and TestEventWithCarriageReturnsIsReturnedAtOnce failed before (unexpected EOF, 10 s) and hold; streams with CRLF keep their bytes and events at pieces of every size.

--- a/relay/stream.go
+++ b/relay/stream.go
@@ -312,7 +312,8 @@
 
 // eventReader splits a stream into its events.
 type eventReader struct {
-	in *bufio.Reader
+	in      *bufio.Reader
+	afterCR bool // the last line ended with a carriage return, whose line feed may follow
 }
 
 func newEventReader(body io.Reader) *eventReader {
@@ -320,15 +321,17 @@
 }
 
 // next returns the bytes of the next event, including its blank line, and its
-// identifier. Comments and blank lines before an event are returned with it: they
-// are no progress of the answer. At the end of the stream next returns io.EOF and the
-// comments after the last event, and io.ErrUnexpectedEOF if the stream ends within an
-// event or a line.
+// identifier. Lines end with a line feed, a carriage return or both; the line feed of the
+// last line of an event is returned with the next event if it comes later. Comments and
+// blank lines before an event are returned with it: they are no progress of the answer. At
+// the end of the stream next returns io.EOF and the comments after the last event, and
+// io.ErrUnexpectedEOF if the stream ends within an event or a line.
 func (r *eventReader) next() (raw []byte, id string, err error) {
 	hasField := false
 	lineStart := 0 // of the current line in raw
 	for {
-		part, err := r.in.ReadSlice('\n') // part of a line if it fills the buffer
+		part, err := r.readLine()
+		endsLine := r.afterCR && lineStart == len(raw) && string(part) == "\n"
 		raw = append(raw, part...)
 		if errors.Is(err, bufio.ErrBufferFull) && len(raw) < maxEventBytes {
 			continue
@@ -336,7 +339,7 @@
 		if len(raw) > maxEventBytes {
 			return nil, "", errEventTooLong
 		}
-		if errors.Is(err, io.EOF) && (hasField || len(raw) > 0 && raw[len(raw)-1] != '\n') {
+		if errors.Is(err, io.EOF) && (hasField || len(raw) > 0 && !endsWithLine(raw)) {
 			return nil, "", io.ErrUnexpectedEOF
 		}
 		if err != nil {
@@ -344,6 +347,10 @@
 		}
 		line := bytes.TrimRight(raw[lineStart:], "\r\n")
 		lineStart = len(raw)
+		r.afterCR = raw[len(raw)-1] == '\r'
+		if endsLine {
+			continue
+		}
 		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			id = string(bytes.TrimSpace(value))
 		}
@@ -353,3 +360,47 @@
 		hasField = hasField || len(line) > 0 && line[0] != ':'
 	}
 }
+
+func endsWithLine(raw []byte) bool {
+	last := raw[len(raw)-1]
+	return last == '\n' || last == '\r'
+}
+
+// readLine returns the next line, or bufio.ErrBufferFull and a part of a line that fills the
+// buffer, or another error and what came before it. It doesn't wait for a line feed after a
+// carriage return. The bytes are valid until the next read.
+func (r *eventReader) readLine() ([]byte, error) {
+	searched := 0
+	for {
+		buffered, err := r.in.Peek(r.in.Buffered())
+		if err != nil {
+			return nil, err
+		}
+		if i := bytes.IndexAny(buffered[searched:], "\r\n"); i >= 0 {
+			end := searched + i + 1
+			if buffered[end-1] == '\r' && end < len(buffered) && buffered[end] == '\n' {
+				end++
+			}
+			return r.take(end, nil)
+		}
+		if len(buffered) == r.in.Size() {
+			return r.take(len(buffered), bufio.ErrBufferFull)
+		}
+		searched = len(buffered)
+		if _, err := r.in.Peek(searched + 1); err != nil {
+			return r.take(searched, err)
+		}
+	}
+}
+
+// take consumes buffered bytes and returns them with an error.
+func (r *eventReader) take(n int, cause error) ([]byte, error) {
+	taken, err := r.in.Peek(n)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := r.in.Discard(n); err != nil {
+		return nil, err
+	}
+	return taken, cause
+}
--- a/relay/stream_test.go
+++ b/relay/stream_test.go
@@ -1,9 +1,11 @@
 package relay
 
 import (
+	"fmt"
 	"io"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -67,3 +69,64 @@
 		assert.DeepEqual(t, ids, []string{"1", "2"})
 	}
 }
+
+// Guards against streams whose events are never passed on: a line may end with a carriage
+// return alone.
+func TestLinesMayEndWithACarriageReturn(t *testing.T) {
+	for _, end := range []string{"\n", "\r", "\r\n"} {
+		first := ": alive" + end + "id: 1" + end + "data: a" + end + "data: b" + end + end
+		second := "id: 2" + end + "data: c" + end + end
+		events, ids, err := readEvents(t, first+second)
+		assert.ErrorIs(t, err, io.EOF, "line end %q", end)
+		assert.DeepEqual(t, events, []string{first, second})
+		assert.DeepEqual(t, ids, []string{"1", "2"})
+	}
+}
+
+// Events must not wait for the line feed that may follow a carriage return.
+func TestEventIsReturnedBeforeTheLineFeedOfItsLastLine(t *testing.T) {
+	const stream = "id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n"
+	for size := 1; size <= len(stream); size++ {
+		reader := newEventReader(&pieces{stream, size})
+		var events, ids []string
+		raw, id, err := reader.next()
+		for ; err == nil; raw, id, err = reader.next() {
+			events, ids = append(events, string(raw)), append(ids, id)
+		}
+		assert.ErrorIs(t, err, io.EOF, "pieces of %d bytes", size)
+		assert.Equal(t, strings.Join(events, "")+string(raw), stream, "pieces of %d bytes", size)
+		assert.DeepEqual(t, ids, []string{"1", "2"})
+	}
+}
+
+// pieces is a reader that returns a text in pieces of one size.
+type pieces struct {
+	text string
+	size int
+}
+
+func (p *pieces) Read(b []byte) (int, error) {
+	if p.text == "" {
+		return 0, io.EOF
+	}
+	n := copy(b, p.text[:min(p.size, len(p.text))])
+	p.text = p.text[n:]
+	return n, nil
+}
+
+func TestEventWithCarriageReturnsIsReturnedAtOnce(t *testing.T) {
+	out, in := io.Pipe()
+	go func() { _, _ = io.WriteString(in, "id: 1\rdata: a\r\r") }() // and nothing more
+	t.Cleanup(func() { _ = in.Close() })
+	got := make(chan string)
+	go func() {
+		raw, _, err := newEventReader(out).next()
+		got <- fmt.Sprint(string(raw), err)
+	}()
+	select {
+	case event := <-got:
+		assert.Equal(t, event, "id: 1\rdata: a\r\r<nil>")
+	case <-time.After(10 * time.Second):
+		t.Fatal("the event waits for more bytes")
+	}
+}
