fleet: a process that takes over an identifier starts without failures

What callers see: an upstream that started again under its old identifier is avoided for up to 4 s for what the process before did.

Ruled out for the other things that are kept by identifier: positions of entries follow the revisions of the store, not seq; a limit holds until an answer names another one or none; reservations carry the host, its start and a number, so a new process holds none of them, and a renewal sets memory aside for a request that is ending; unframed answers compare born.

Change: an entry with another born resets the failures; requests in flight still count.

Evidence: TestNewProcessWithTheSameIdentifierStartsWithoutFailures failed before (avoided).

--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -78,3 +78,23 @@
 	assert.Equal(t, len(s.ForService("app", 0)), 0)
 	assert.Assert(t, !s.Usable("i-1"))
 }
+
+// Guards against an upstream that is avoided for the failures of the process that had its
+// identifier before.
+func TestNewProcessWithTheSameIdentifierStartsWithoutFailures(t *testing.T) {
+	u := fleet.Upstream{ID: "i-1", Service: "app", Address: "127.0.0.1:1", Slots: 6, Started: 1}
+	s := fleet.NewSet()
+	s.Put(u)
+	s.Begin("i-1")
+	s.Begin("i-1")
+	s.End("i-1", fleet.Unreachable, time.Second)
+	u.WarmUp = time.Second
+	s.Put(u)
+	assert.Equal(t, s.ForService("app", time.Second)[0].Avoided, true, "the same process")
+	u.Started = 2
+	s.Put(u)
+	view := s.ForService("app", time.Second)[0]
+	assert.Equal(t, view.Avoided, false)
+	assert.Equal(t, view.FailureRate, 0.0)
+	assert.Equal(t, view.InFlight, 1)
+}
--- a/fleet/set.go
+++ b/fleet/set.go
@@ -75,6 +75,10 @@
 	}
 	before := m.upstream
 	m.upstream = u
+	if before.Started != 0 && u.Started != 0 && before.Started != u.Started {
+		// The failures were those of the process before.
+		*m = member{upstream: u, inFlight: m.inFlight}
+	}
 	// The rest of a warm-up changes all the time; only its end has an effect.
 	before.WarmUp, u.WarmUp = min(before.WarmUp, 1), min(u.WarmUp, 1)
 	return before != u
