enginehttp: tests open their idle connections for certain, in 50 ms

Now the stand-in counts the requests that wait at its gate, the tests go on only once all four do, and the timeout is 50 ms again; if opening takes longer on a busy machine, a new client tries.

--- a/internal/stub/stubhttp/gate.go
+++ b/internal/stub/stubhttp/gate.go
@@ -17,6 +17,7 @@
 // Gate makes a server go silent: requests are read and nothing is answered.
 type Gate struct {
 	connections atomic.Uint64 // counts the accepted connections
+	waiting     atomic.Int64  // requests at the closed gate
 	mu          sync.Mutex
 	mutedUpTo   uint64        // connections up to this number are silent for good
 	open        chan struct{} // closed unless the server is silent
@@ -60,6 +61,11 @@
 	g.mutedUpTo = g.connections.Load()
 }
 
+// Waiting returns the number of requests that wait at the closed gate.
+func (g *Gate) Waiting() int {
+	return int(g.waiting.Load())
+}
+
 // Wait returns nil once the request with context ctx may be answered, or the
 // error of ctx.
 func (g *Gate) Wait(ctx context.Context) error {
@@ -74,6 +80,8 @@
 		<-ctx.Done()
 		return ctx.Err()
 	}
+	g.waiting.Add(1)
+	defer g.waiting.Add(-1)
 	select {
 	case <-open:
 		return nil
--- a/upstream/enginehttp/engine_test.go
+++ b/upstream/enginehttp/engine_test.go
@@ -235,28 +235,50 @@
 	}
 }
 
-// openConnections opens the given number of connections to the engine and leaves
-// them idle.
-func (f *fixture) openConnections(t *testing.T, connections int) {
+// startEngineWithConnections starts an engine to which that many connections are open and
+// idle. Opening them may time out on a busy machine; a client that has seen that avoids
+// them, so another one tries.
+func startEngineWithConnections(t *testing.T, connections int) *fixture {
+	t.Helper()
+	const tries = 50
+	for range tries {
+		f := startEngine(t, newClient(t, enginehttp.Options{AcceptTimeout: 50 * time.Millisecond}), fastOptions("engine-1"))
+		if f.openConnections(t, connections) {
+			return f
+		}
+	}
+	t.Fatalf("%d connections could not be opened at a time in %d tries", connections, tries)
+	return nil
+}
+
+// openConnections opens that many connections at a time, leaves them idle, and reports
+// whether it has done so.
+func (f *fixture) openConnections(t *testing.T, connections int) bool {
 	t.Helper()
 	f.stub.Gate.SetSilent(true) // so that each report needs a connection
+	failed := make(chan error, connections)
 	var group sync.WaitGroup
 	for range connections {
 		group.Go(func() {
-			_, err := f.engine.Report(t.Context())
-			assert.Check(t, err)
+			if _, err := f.engine.Report(t.Context()); err != nil {
+				failed <- err
+			}
 		})
 	}
-	time.Sleep(20 * time.Millisecond)
+	opened := false
+	for len(failed) == 0 && !opened {
+		opened = f.stub.Gate.Waiting() == connections
+		time.Sleep(100 * time.Microsecond)
+	}
 	f.stub.Gate.SetSilent(false)
 	group.Wait()
+	return opened && len(failed) == 0
 }
 
 // When a connection stops responding, other idle ones to the same engine can
 // have stopped too. A retry that reused one of them would fail as well.
 func TestRetryUsesNewConnection(t *testing.T) {
-	f := startEngine(t, newClient(t, enginehttp.Options{AcceptTimeout: 500 * time.Millisecond}), fastOptions("engine-1"))
-	f.openConnections(t, 4)
+	f := startEngineWithConnections(t, 4)
 	f.stub.Gate.MuteConnections()
 	req := newRequest(1, "a", 16)
 	req.Attempt.Number = 2
@@ -268,9 +290,8 @@
 // After a call failed on an unresponsive connection, further calls must not
 // reuse connections that were open at that time.
 func TestUnresponsiveConnectionsAreNotReused(t *testing.T) {
-	f := startEngine(t, newClient(t, enginehttp.Options{AcceptTimeout: 500 * time.Millisecond}), fastOptions("engine-1"))
 	const connections = 4
-	f.openConnections(t, connections)
+	f := startEngineWithConnections(t, connections)
 	f.stub.Gate.MuteConnections()
 	_, err := f.engine.Report(t.Context())
 	assertError(t, err, upstream.SentSome, "")
