servicehttp: an answer without a framed end has broken off

What callers of citrond see: a call whose service crashes in the middle of an answer with neither a length nor chunks gets a short body as a whole 200.

Cause: the end of the connection was taken for the end of the answer.

Ruled out: streams of engines, which end with a marker; reports, orders and documents, whose JSON doesn't parse when cut.

Change: our own protocol may ask for framing, so an answer without it is incomplete and counts as "may have run".

Evidence: TestResponseThatEndsWithItsConnectionIsAnError failed before (no error).

--- a/upstream/servicehttp/service.go
+++ b/upstream/servicehttp/service.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -77,7 +78,14 @@
 	}
 }
 
+// errUnframed is returned for a response that only the end of its connection would end. The
+// connection of a service that crashes ends the same way.
+var errUnframed = errors.New("the response has neither a length nor chunks")
+
 func (s *service) readResponse(resp *http.Response) (*upstream.CallResponse, error) {
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody {
+		return nil, &upstream.Error{Upstream: s.name, Sent: upstream.SentSome, Err: code.Wrap(errUnframed, code.AnswerIncomplete)}
+	}
 	limit := s.client.options.MaxBodyBytes
 	memory := s.client.options.Buffers.Reserve()
 	defer memory.Release()
--- a/upstream/servicehttp/service_test.go
+++ b/upstream/servicehttp/service_test.go
@@ -14,6 +14,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/citronscale/citronscale/code"
 	"github.com/citronscale/citronscale/ident"
 	"github.com/citronscale/citronscale/internal/buffer"
 	"github.com/citronscale/citronscale/internal/stub/servicestub"
@@ -204,6 +205,49 @@
 	assertSent(t, err, upstream.SentSome)
 }
 
+// Guards against the answer of a service that crashes and looks complete: its connection
+// ends as that of a whole answer without a length would.
+func TestResponseThatEndsWithItsConnectionIsAnError(t *testing.T) {
+	server, err := stubhttp.Listen("127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if !assert.Check(t, err) {
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nhalf of a bo") // the caller may have gone
+		_ = conn.Close()
+	}), stubhttp.NewGate())
+	assert.NilError(t, err)
+	defer server.Close()
+	_, err = servicehttp.NewClient(servicehttp.Options{}).Service("pallets-1", server.Address()).Call(t.Context(), newCall("a"))
+	assertSent(t, err, upstream.SentSome)
+	assert.Equal(t, code.Of(err), code.AnswerIncomplete)
+}
+
+// A head that stalls and ends, or ends at any byte, is no answer either.
+func TestResponseThatEndsWithinItsHeadIsAnError(t *testing.T) {
+	const whole = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 4\r\n\r\nbody"
+	for _, stall := range []time.Duration{0, 20 * time.Millisecond} {
+		for cut := range len(whole) {
+			if stall > 0 && cut%10 != 0 {
+				continue
+			}
+			server, err := stubhttp.Listen("127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if !assert.Check(t, err) {
+					return
+				}
+				_, _ = io.WriteString(conn, whole[:cut]) // the caller may have gone
+				time.Sleep(stall)
+				_ = conn.Close()
+			}), stubhttp.NewGate())
+			assert.NilError(t, err)
+			_, err = servicehttp.NewClient(servicehttp.Options{}).Service("pallets-1", server.Address()).Call(t.Context(), newCall("a"))
+			assertSent(t, err, upstream.SentSome)
+			server.Close()
+		}
+	}
+}
+
 func TestPathCannotChangeTheAddress(t *testing.T) {
 	stub, server := startStub(t)
 	call := newCall("a")
