--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -184,10 +184,11 @@
 	}
 }
 
-// resume returns the request with which a caller goes on with a stream that broke off, at
-// any host, or nil if the stream can't be resumed.
+// resume returns the request with which a caller goes on with a stream that broke off, or
+// that it left, at any host, or nil if the stream can't be resumed. The first host may still
+// hold a stream that its caller left.
 func (c *crowd) resume(broken *request, rng *rand.Rand) *request {
-	if !broken.repeatable || !broken.stream || broken.answer.Err == nil || broken.answer.Status != http.StatusOK || !broken.leftAt.IsZero() {
+	if !broken.repeatable || !broken.stream || broken.answer.Err == nil || broken.answer.Status != http.StatusOK {
 		return nil
 	}
 	last := broken.LastEvent + strings.Count(broken.answer.Body, "\n\n")
