--- a/internal/soak/config_test.go
+++ b/internal/soak/config_test.go
@@ -22,6 +22,7 @@
 	revoked map[string]time.Time
 	added   map[string]bool // names of routes beside the first ones
 	nextKey int
+	long    bool // there is a route to a service whose work takes long
 }
 
 func newFleetConfig() fleetConfig {
@@ -65,6 +66,10 @@
 	add("write", "non_idempotent", "app", 1, 800*time.Millisecond, false)
 	add("stream", "stream", "model", 2, 10*time.Second, true)
 	add("stream-once", "stream", "model", 2, 10*time.Second, false)
+	if c.long {
+		spec.Plain = append(spec.Plain, longService)
+		add(longService, "non_idempotent", longService, 1, longTimeout, false)
+	}
 	for name := range maps.Keys(c.added) {
 		add(name, "idempotent", "app", 2, 800*time.Millisecond, false)
 	}
