relay: a process that tells its start is asked for its id, too, if no start was known

What callers see: a plain answer without framing ends short as a 200 if another process takes over the address at once and answers reports whoever they are meant for.

Cause: a report with a start was taken for an identification although there was no start to compare it with.

Change: without a known start, the health check has to give the id as well.

Evidence: the new case of TestAnswerThatEndsWithItsProcessIsNotWhole failed before (a 200) and holds; TestUnframedAnswerOfALiveProcessIsWhole holds with slots that are busy.

--- a/relay/identity.go
+++ b/relay/identity.go
@@ -23,6 +23,7 @@
 // Identifier asks processes who they are.
 type Identifier interface {
 	// Identify asks the process at the address of an upstream. It fails if no process with
-	// the identifier of the upstream answers there.
-	Identify(ctx context.Context, u fleet.Upstream, healthPath string) (Identity, error)
+	// the identifier of the upstream answers there. A process that tells its start is asked
+	// for its identifier only if the start of the one before it isn't known.
+	Identify(ctx context.Context, u fleet.Upstream, healthPath string, startKnown bool) (Identity, error)
 }
--- a/relay/unframed.go
+++ b/relay/unframed.go
@@ -63,9 +63,9 @@
 	}
 	a.timer.Stop() // the upstream has nothing more to send
 	began := a.identityAtStart()
-	identity, err := a.identify()
+	identity, err := a.identify(began.Started != 0)
 	if err == nil && confirm > 0 && ctxtime.Sleep(a.ctx, min(confirm, a.x.timeLeft()-minAttemptTime)) {
-		identity, err = a.identify()
+		identity, err = a.identify(began.Started != 0)
 	}
 	switch {
 	case err != nil:
@@ -90,7 +90,7 @@
 	asked := make(chan Identity, 1)
 	a.asked = asked
 	go func() {
-		identity, err := a.identify()
+		identity, err := a.identify(true) // the start is all that is wanted
 		if err != nil {
 			identity = Identity{} // the end of the stream tells more
 		}
@@ -108,10 +108,10 @@
 	return Identity{Started: a.upstream.Started}
 }
 
-func (a *attempt) identify() (Identity, error) {
+func (a *attempt) identify(startKnown bool) (Identity, error) {
 	ctx, cancel := context.WithTimeout(a.ctx, identifyTimeout)
 	defer cancel()
-	return a.x.s.identifier.Identify(ctx, a.upstream, a.x.service.HealthPath)
+	return a.x.s.identifier.Identify(ctx, a.upstream, a.x.service.HealthPath, startKnown)
 }
 
 // logUnframedEnd logs what was taken for the end of an answer.
