relay: what an attempt asks of a process is fixed when it begins

Found when the diff was read: the goroutine that asks the process of an unframed stream read the service of the request, which the next attempt may replace at the same time; and an error of that question was dropped.

Change: the attempt keeps the path of health checks; the error stands in event 215 as start_unknown. No other change of behaviour.

Evidence: by reading; the tests of unframed answers, of HTTP/1.0 and of planned stops pass with -race.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -37,14 +37,15 @@
 	unnumbered    atomic.Bool // the caller has an event without an identifier
 	response      *http.Response
 	answer        Answer
-	asked         <-chan Identity // of the process of an unframed stream, nil if it isn't asked
+	healthPath    string                // of the service; fixed, because a goroutine reads it
+	asked         <-chan identification // of the process of an unframed stream, nil if it isn't asked
 }
 
 // send sends the request and waits for the headers of the answer. The code of
 // its error is the result of the request unless another attempt follows. The
 // caller of send must close the attempt.
 func (x *exchange) send(params AttemptParams, timeout time.Duration) (*attempt, error) {
-	a := &attempt{x: x, upstream: params.Upstream}
+	a := &attempt{x: x, upstream: params.Upstream, healthPath: x.service.HealthPath}
 	a.ctx, a.cancel = context.WithCancel(x.ctx)
 	a.watch, a.ctx = sentconn.NewWatch(a.ctx)
 	x.attempts++
--- a/relay/unframed.go
+++ b/relay/unframed.go
@@ -62,7 +62,7 @@
 		return nil
 	}
 	a.timer.Stop() // the upstream has nothing more to send
-	began := a.identityAtStart()
+	began, startErr := a.identityAtStart()
 	identity, err := a.identify(began.Started != 0)
 	if err == nil && confirm > 0 && ctxtime.Sleep(a.ctx, min(confirm, a.x.timeLeft()-minAttemptTime)) {
 		identity, err = a.identify(began.Started != 0)
@@ -75,50 +75,57 @@
 	case !identity.Known && a.x.route.Kind == route.Stream && a.x.route.Repeatable():
 		err = errEndUnconfirmed
 	}
-	a.logUnframedEnd(identity, err)
+	a.logUnframedEnd(identity, startErr, err)
 	if err != nil {
 		return a.connectionError(err)
 	}
 	return nil
 }
 
+// identification is the answer to the question at the head of a stream.
+type identification struct {
+	Identity
+	err error
+}
+
 // watchIdentity asks the process of an unframed stream who it is while the stream goes on.
 func (a *attempt) watchIdentity() {
 	if a.x.route.Kind != route.Stream || !a.unframed() {
 		return
 	}
-	asked := make(chan Identity, 1)
+	asked := make(chan identification, 1)
 	a.asked = asked
 	go func() {
 		identity, err := a.identify(true) // the start is all that is wanted
-		if err != nil {
-			identity = Identity{} // the end of the stream tells more
-		}
-		asked <- identity
+		asked <- identification{identity, err}
 	}()
 }
 
-// identityAtStart returns what is known of the process that began the answer.
-func (a *attempt) identityAtStart() Identity {
-	if a.asked != nil {
-		if identity := <-a.asked; identity.Started != 0 {
-			return identity
-		}
+// identityAtStart returns what is known of the process that began the answer, and why the
+// process itself did not tell it.
+func (a *attempt) identityAtStart() (Identity, error) {
+	fromEntry := Identity{Started: a.upstream.Started}
+	if a.asked == nil {
+		return fromEntry, nil
+	}
+	answered := <-a.asked
+	if answered.err != nil || answered.Started == 0 {
+		return fromEntry, answered.err
 	}
-	return Identity{Started: a.upstream.Started}
+	return answered.Identity, nil
 }
 
 func (a *attempt) identify(startKnown bool) (Identity, error) {
 	ctx, cancel := context.WithTimeout(a.ctx, identifyTimeout)
 	defer cancel()
-	return a.x.s.identifier.Identify(ctx, a.upstream, a.x.service.HealthPath, startKnown)
+	return a.x.s.identifier.Identify(ctx, a.upstream, a.healthPath, startKnown)
 }
 
 // logUnframedEnd logs what was taken for the end of an answer.
-func (a *attempt) logUnframedEnd(identity Identity, err error) {
+func (a *attempt) logUnframedEnd(identity Identity, startErr, err error) {
 	if !a.x.s.lines.allow(err == nil, time.Now(), a.x.s.log) {
 		return
 	}
 	a.x.s.log.Emit(event.UnframedEnd).Str("request", a.x.call.ID).Str("upstream", a.upstream.ID).
-		Int("events", a.x.events).Bool("identified", identity.Known).Int64("started", identity.Started).Err(err).Msg("")
+		Int("events", a.x.events).Bool("identified", identity.Known).Int64("started", identity.Started).AnErr("start_unknown", startErr).Err(err).Msg("")
 }
