relay: a second run without an event confirms the end of an unframed stream

What callers see: a whole stream, which may be resumed, of an upstream that says nothing of itself is cut: the second run ends without an event, its connection too, and that counted as no answer.

Cause: the check of unframed ends asks for the rest of such a stream, and the rest of a whole stream has neither a frame nor an event.

Change: after an unconfirmed end, a run without an event at a process that still answers confirms it.

TestSecondRunConfirmsTheEndOfAStream failed before in both cases and holds.

--- a/relay/answer.go
+++ b/relay/answer.go
@@ -147,7 +147,7 @@
 	case err != nil:
 		return nil, code.Wrap(fmt.Errorf("answer of upstream %s: %w", a.upstream.ID, err), code.AnswerIncomplete)
 	}
-	if err := a.unframedEnd(0); err != nil {
+	if err := a.unframedEnd(0, false); err != nil {
 		return nil, err
 	}
 	answer := &completeAnswer{status: a.response.StatusCode, header: endtoend.Header(a.response.Header), body: body}
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -52,6 +52,7 @@
 	answerStarted  bool     // the first bytes of the answer were sent to the caller
 	events         int
 	unnumbered     bool          // the caller has an event without an identifier
+	endUnconfirmed bool          // the stream ended after the last event at an upstream that says nothing of itself
 	firstAt        time.Duration // first event, or start of a buffered answer
 	lastAt         time.Duration // latest event
 	maxGap         time.Duration // longest time between two events
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -168,10 +168,11 @@
 	for {
 		raw, id, err := reader.next()
 		if errors.Is(err, io.EOF) {
-			if begun == 0 && a.unframed() {
+			confirmsEnd := begun == 0 && x.endUnconfirmed // nothing follows the last event here either
+			if begun == 0 && a.unframed() && !confirmsEnd {
 				return a.connectionError(errNoEvent)
 			}
-			if err := a.unframedEnd(confirmStreamAfter); err != nil {
+			if err := a.unframedEnd(confirmStreamAfter, confirmsEnd); err != nil {
 				return err
 			}
 			if !recorded && begun > 0 {
@@ -245,6 +246,7 @@
 	}
 	x.lastAt = now
 	x.events++
+	x.endUnconfirmed = false
 }
 
 // endStream completes the answer after its last event with the comments that follow
--- a/relay/unframed.go
+++ b/relay/unframed.go
@@ -56,8 +56,9 @@
 // unframedEnd checks an answer that has ended with its connection. A process that ends
 // closes its connections just as one that has sent everything does, so the answer is whole
 // only if the process that began it is still there. With a confirmation time it is asked
-// once more after that time: a process that is ending may answer for a moment.
-func (a *attempt) unframedEnd(confirm time.Duration) error {
+// once more after that time: a process that is ending may answer for a moment. An upstream
+// that says nothing of itself is believed if an earlier attempt ended at the same event.
+func (a *attempt) unframedEnd(confirm time.Duration, confirmsEnd bool) error {
 	if !a.unframed() {
 		return nil
 	}
@@ -72,7 +73,8 @@
 		err = fmt.Errorf("%w: %w", errProcessGone, err)
 	case !identity.sameProcess(began):
 		err = fmt.Errorf("%w: the one at its address started at %d instead of %d", errProcessGone, identity.Started, began.Started)
-	case !identity.Known && a.x.route.Kind == route.Stream && a.x.route.Repeatable():
+	case !identity.Known && !confirmsEnd && a.x.route.Kind == route.Stream && a.x.route.Repeatable():
+		a.x.endUnconfirmed = true
 		err = errEndUnconfirmed
 	}
 	a.logUnframedEnd(identity, startErr, err)
