--- a/relay/stream.go
+++ b/relay/stream.go
@@ -168,11 +168,7 @@
 	for {
 		raw, id, err := reader.next()
 		if errors.Is(err, io.EOF) {
-			confirmsEnd := begun == 0 && x.endUnconfirmed // nothing follows the last event here either
-			if begun == 0 && a.unframed() && !confirmsEnd {
-				return a.connectionError(errNoEvent)
-			}
-			if err := a.unframedEnd(confirmStreamAfter, confirmsEnd); err != nil {
+			if err := a.checkStreamEnd(begun > 0); err != nil {
 				return err
 			}
 			if !recorded && begun > 0 {
@@ -215,6 +211,16 @@
 	}
 }
 
+// checkStreamEnd checks a stream that ended properly, with or without an event of this
+// attempt.
+func (a *attempt) checkStreamEnd(hadEvent bool) error {
+	confirmsEnd := !hadEvent && a.x.endUnconfirmed // nothing follows the last event here either
+	if !hadEvent && a.unframed() && !confirmsEnd {
+		return a.connectionError(errNoEvent)
+	}
+	return a.unframedEnd(confirmStreamAfter, confirmsEnd)
+}
+
 // continues reports whether an event with this identifier may follow the last event that
 // the caller has. Identifiers rise; those that are not numbers must at least differ.
 func (x *exchange) continues(id string) bool {
