--- a/fleet/set.go
+++ b/fleet/set.go
@@ -23,7 +23,7 @@
 
 // Upstream is the published state of one process that runs requests.
 type Upstream struct {
-	ID            string // of one start of the process, mostly
+	ID            string // mostly of one start of the process; see Started
 	Service       string
 	Address       string // IP:port
 	FailureDomain string
