--- /dev/null
+++ b/review/standin2/reborn.go
@@ -0,0 +1,76 @@
+//go:build review2
+
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+)
+
+func init() { cases["reborn"] = runReborn }
+
+const key1 = "n2ctnfzs989anu6wsjnb"
+
+// runReborn cuts one of six replicas off while it writes answers without a length. The
+// replica crashes behind the cut and starts again under its id before the cut heals.
+func runReborn(w *world) (bool, error) {
+	if err := w.store.put("op/config", config(7, []tenant{{Name: "hule930", Keys: []string{key1}, Priority: 1}})); err != nil {
+		return false, err
+	}
+	var replicas []*replica
+	for i := range 6 {
+		r, err := w.newReplica(fmt.Sprintf("i-7f3a91c%d", i), "--unframed", "--rest", "400ms")
+		if err != nil {
+			return false, err
+		}
+		replicas = append(replicas, r)
+	}
+	if err := w.startRelays(3); err != nil {
+		return false, err
+	}
+	time.Sleep(4 * time.Second) // all machines are in touch
+	outcomes := make([]outcome, 18)
+	var wg sync.WaitGroup
+	for i := range outcomes {
+		wg.Go(func() {
+			outcomes[i] = w.send(w.relays[i%3], call{method: "POST", path: reservePath, key: key1, body: bytes.Repeat([]byte("x"), 600), deadline: 1500 * time.Millisecond})
+		})
+	}
+	time.Sleep(150 * time.Millisecond)
+	cut := replicas[0]
+	if w.trouble {
+		cut.link.setCut(true)
+		time.Sleep(100 * time.Millisecond)
+		cut.kill()
+		time.Sleep(250 * time.Millisecond)
+		if err := cut.start(); err != nil {
+			return false, err
+		}
+		time.Sleep(400 * time.Millisecond)
+		cut.link.setCut(false)
+	}
+	wg.Wait()
+	broken, served := false, 0
+	for _, o := range outcomes {
+		if o.err == nil && o.status == 200 {
+			served++
+		}
+		if o.err == nil && o.status == 200 && o.body != wholeBody(o.id) {
+			w.note("MIXED: %s was answered 200 and complete with %d of the replica's %d bytes", o.id, len(o.body), answerBytes)
+			broken = true
+		}
+	}
+	for _, r := range replicas {
+		w.note("output of %s:\n%s", r.id, r.output())
+	}
+	for _, r := range w.relays {
+		w.noteLog(r, cut.id)
+	}
+	if ran := strings.Count(cut.output(), "runs "); ran == 0 || served == 0 {
+		return broken, fmt.Errorf("the replica ran %d requests, %d were served", ran, served)
+	}
+	return broken, nil
+}
--- /dev/null
+++ b/review/standin2/replica.go
@@ -0,0 +1,178 @@
+//go:build review2
+
+package main
+
+import (
+	"bufio"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// answerBytes is the size of an answer, as on the sheet.
+const answerBytes = 800
+
+// wholeBody returns the body with which a replica answers a request.
+func wholeBody(request string) string {
+	line := "answer to " + request + " "
+	return strings.Repeat(line, answerBytes/len(line)+1)[:answerBytes]
+}
+
+// runReplica is the process of a replica of the plain service.
+func runReplica(args []string) error {
+	flags := flag.NewFlagSet("replica", flag.ContinueOnError)
+	address := flags.String("address", "", "IP:port to listen at")
+	id := flags.String("id", "", "identifier")
+	born := flags.Int64("born", 0, "start in Unix milliseconds")
+	unframed := flags.Bool("unframed", false, "answers end with their connection")
+	work := flags.Duration("work", 15*time.Millisecond, "time until the answer begins")
+	rest := flags.Duration("rest", 0, "time between the halves of the answer")
+	if err := flags.Parse(args); err != nil {
+		return err
+	}
+	listener, err := net.Listen("tcp4", *address)
+	if err != nil {
+		return err
+	}
+	r := &replicaServer{id: *id, born: *born, unframed: *unframed, work: *work, rest: *rest}
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return err
+		}
+		go r.serve(conn)
+	}
+}
+
+type replicaServer struct {
+	id         string
+	born       int64
+	unframed   bool
+	work, rest time.Duration
+}
+
+// serve answers one request: the relay opens a connection for each.
+func (r *replicaServer) serve(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	request, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return
+	}
+	body, err := io.ReadAll(request.Body)
+	if err != nil {
+		return
+	}
+	expected := request.Header.Get("X-Citronscale-Expect-Replica")
+	header := fmt.Sprintf("Connection: close\r\nX-Citronscale-Request-Id: %s\r\nX-Citronscale-Replica-Id: %s\r\n", request.Header.Get("X-Citronscale-Request-Id"), r.id)
+	switch {
+	case expected != "" && expected != r.id:
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\n%sContent-Length: 0\r\n\r\n", header)
+	case request.URL.Path == "/health":
+		// All that it says of itself has the start of its process.
+		text := fmt.Sprintf(`{"born":%d}`, r.born)
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%sContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", header, len(text), text)
+		fmt.Printf("health\n")
+	case request.URL.Path == "/report": // only engines report
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 404 Not Found\r\n%sContent-Length: 0\r\n\r\n", header)
+	default:
+		r.answer(conn, request, header, len(body))
+	}
+}
+
+func (r *replicaServer) answer(conn net.Conn, request *http.Request, header string, bodyBytes int) {
+	id := request.Header.Get("X-Citronscale-Request-Id")
+	fmt.Printf("runs %s %s %s, body of %d bytes, tenant %q, key %q\n", id, request.Method, request.RequestURI, bodyBytes,
+		request.Header.Get("X-Citronscale-Tenant"), request.Header.Get("X-Citronscale-Credential"))
+	time.Sleep(r.work)
+	text := wholeBody(id)
+	if !r.unframed {
+		header += fmt.Sprintf("Content-Length: %d\r\n", len(text))
+	}
+	half := len(text) / 2
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%sX-Citronscale-Response-Seal: seal-of-%s\r\nContent-Type: text/plain\r\n\r\n%s", header, r.id, text[:half])
+	time.Sleep(r.rest)
+	_, _ = io.WriteString(conn, text[half:])
+	fmt.Printf("answered %s whole\n", id)
+}
+
+// replica is the process of one replica, and the link to it.
+type replica struct {
+	w       *world
+	id      string
+	link    *link
+	backend string // where the process listens
+	options []string
+	process *os.Process
+	ended   <-chan struct{}
+	log     string
+	born    int64
+	seq     int
+}
+
+// newReplica starts a replica behind a link and registers it.
+func (w *world) newReplica(id string, options ...string) (*replica, error) {
+	port, err := freePort("127.0.0.1")
+	if err != nil {
+		return nil, err
+	}
+	r := &replica{w: w, id: id, options: options, backend: fmt.Sprintf("127.0.0.1:%d", port), log: filepath.Join(w.dir, id+".log")}
+	if r.link, err = newLink(w, id, r.backend); err != nil {
+		return nil, err
+	}
+	return r, r.start()
+}
+
+// start starts the process, waits until it listens and registers it.
+func (r *replica) start() error {
+	log, err := os.OpenFile(r.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = log.Close() }()
+	r.born = time.Now().UnixMilli()
+	args := append([]string{"replica", "--address", r.backend, "--id", r.id, "--born", fmt.Sprint(r.born)}, r.options...)
+	if r.process, r.ended, err = r.w.start(log, r.w.program, args...); err != nil {
+		return err
+	}
+	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
+		conn, err := net.Dial("tcp4", r.backend)
+		if err == nil {
+			_ = conn.Close()
+			r.w.note("replica %s runs, born %d", r.id, r.born)
+			return r.register("ready")
+		}
+	}
+	return fmt.Errorf("replica %s does not listen", r.id)
+}
+
+// register writes the entry of the replica to the store.
+func (r *replica) register(state string) error {
+	r.seq++
+	return r.w.store.put("servers/"+r.id, map[string]any{
+		"service": appName, "address": r.link.address, "zone": zones[0], "version": "v1", "slots": 6, "state": state, "cold-ms": 0, "seq": r.seq,
+		"born": r.born,
+	})
+}
+
+// kill ends the process as a crash does.
+func (r *replica) kill() {
+	_ = r.process.Signal(syscall.SIGKILL) // it may have ended
+	<-r.ended
+	r.w.note("replica %s crashed", r.id)
+}
+
+// output returns what the processes of the replica have printed.
+func (r *replica) output() string {
+	data, err := os.ReadFile(r.log)
+	if err != nil {
+		return err.Error()
+	}
+	return string(data)
+}
