--- a/review/standin2/lasttenant.go
+++ b/review/standin2/lasttenant.go
@@ -19,7 +19,7 @@
 	if err := w.store.put("op/config", config(7, only)); err != nil {
 		return false, err
 	}
-	replica, err := w.newReplica("i-7f3a91c0")
+	replica, err := w.newReplica(appName, "i-7f3a91c0")
 	if err != nil {
 		return false, err
 	}
--- a/review/standin2/reborn.go
+++ b/review/standin2/reborn.go
@@ -22,7 +22,7 @@
 	}
 	var replicas []*replica
 	for i := range 6 {
-		r, err := w.newReplica(fmt.Sprintf("i-7f3a91c%d", i), "--unframed", "--rest", "400ms")
+		r, err := w.newReplica(appName, fmt.Sprintf("i-7f3a91c%d", i), "--unframed", "--rest", "400ms")
 		if err != nil {
 			return false, err
 		}
--- /dev/null
+++ b/review/standin2/rebornstream.go
@@ -0,0 +1,89 @@
+//go:build review2
+
+package main
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+)
+
+func init() { cases["rebornstream"] = runRebornStream }
+
+// ledgerEvents is the number of events of a stream, as on the sheet.
+const ledgerEvents = 19
+
+// runRebornStream cuts one of six engines off before the first byte of its answers has
+// passed. The engine crashes behind the cut in the middle of its streams, which have neither a
+// length nor chunks, and starts again under its id before the cut heals.
+func runRebornStream(w *world) (bool, error) {
+	if err := w.store.put("op/config", config(7, []tenant{{Name: "hule930", Keys: []string{key1}, Priority: 1}})); err != nil {
+		return false, err
+	}
+	var engines []*replica
+	for i := range 6 {
+		e, err := w.newReplica(modelName, fmt.Sprintf("i-7f3a91c%d", i), "--unframed", "--events", fmt.Sprint(ledgerEvents), "--work", "900ms", "--gap", "50ms")
+		if err != nil {
+			return false, err
+		}
+		engines = append(engines, e)
+	}
+	if err := w.startRelays(3); err != nil {
+		return false, err
+	}
+	time.Sleep(4 * time.Second) // all machines are in touch
+	outcomes := make([]outcome, 18)
+	var wg sync.WaitGroup
+	for i := range outcomes {
+		wg.Go(func() {
+			outcomes[i] = w.send(w.relays[i%3], call{
+				method: "POST", path: ledgerPath, key: key1, body: []byte("ledger"), deadline: 15 * time.Second,
+				header: map[string]string{
+					"X-Citronscale-Model": "m", "X-Citronscale-Token-Counts": "100000,650",
+					"X-Citronscale-Prompt-Prefix": fmt.Sprintf("5c1e07a2:40,%x:99960", 0xe4402b00+i),
+				},
+			})
+		})
+		time.Sleep(10 * time.Millisecond)
+	}
+	time.Sleep(450 * time.Millisecond)
+	cut := engines[0]
+	for _, e := range engines { // the one with most streams
+		if strings.Count(e.output(), "runs ") > strings.Count(cut.output(), "runs ") {
+			cut = e
+		}
+	}
+	if w.trouble {
+		cut.link.setCut(true)
+		time.Sleep(900 * time.Millisecond)
+		cut.kill()
+		time.Sleep(600 * time.Millisecond)
+		if err := cut.start(); err != nil {
+			return false, err
+		}
+		time.Sleep(500 * time.Millisecond)
+		cut.link.setCut(false)
+	}
+	wg.Wait()
+	broken, served := false, 0
+	for _, o := range outcomes {
+		if o.err == nil && o.status == 200 {
+			served++
+		}
+		if o.err == nil && o.status == 200 && o.body != wholeStream(ledgerEvents, o.id) {
+			w.note("ORDER: %s ended as complete with %d of %d events", o.id, strings.Count(o.body, "id: "), ledgerEvents)
+			broken = true
+		}
+	}
+	for _, e := range engines {
+		w.note("output of %s:\n%s", e.id, e.output())
+	}
+	for _, r := range w.relays {
+		w.noteLog(r, cut.id)
+	}
+	if ran := strings.Count(cut.output(), "runs "); ran == 0 || served == 0 {
+		return broken, fmt.Errorf("the engine ran %d streams, %d were served", ran, served)
+	}
+	return broken, nil
+}
--- a/review/standin2/replica.go
+++ b/review/standin2/replica.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -34,6 +35,8 @@
 	unframed := flags.Bool("unframed", false, "answers end with their connection")
 	work := flags.Duration("work", 15*time.Millisecond, "time until the answer begins")
 	rest := flags.Duration("rest", 0, "time between the halves of the answer")
+	events := flags.Int("events", 0, "events of a stream; 0 for a plain service")
+	gap := flags.Duration("gap", 0, "time between two events")
 	if err := flags.Parse(args); err != nil {
 		return err
 	}
@@ -41,7 +44,7 @@
 	if err != nil {
 		return err
 	}
-	r := &replicaServer{id: *id, born: *born, unframed: *unframed, work: *work, rest: *rest}
+	r := &replicaServer{id: *id, born: *born, unframed: *unframed, work: *work, rest: *rest, events: *events, gap: *gap}
 	for {
 		conn, err := listener.Accept()
 		if err != nil {
@@ -56,6 +59,8 @@
 	born       int64
 	unframed   bool
 	work, rest time.Duration
+	events     int // 0 for a plain service
+	gap        time.Duration
 }
 
 // serve answers one request: the relay opens a connection for each.
@@ -79,13 +84,61 @@
 		text := fmt.Sprintf(`{"born":%d}`, r.born)
 		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%sContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", header, len(text), text)
 		fmt.Printf("health\n")
+	case request.URL.Path == "/report" && r.events > 0:
+		text := fmt.Sprintf(`{"stage":"colocated","models":[{"name":"m","version":1,"adapters":[]}],"busy":false,"seq":0,"queued":0,"running":0,"kv-used":0,"kv-total":405000,"handles":0,"born":%d}`, r.born)
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%sContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", header, len(text), text)
+		fmt.Printf("report\n")
 	case request.URL.Path == "/report": // only engines report
 		_, _ = fmt.Fprintf(conn, "HTTP/1.1 404 Not Found\r\n%sContent-Length: 0\r\n\r\n", header)
+	case r.events > 0:
+		r.stream(conn, request, header)
 	default:
 		r.answer(conn, request, header, len(body))
 	}
 }
 
+// streamEvent returns an event of a stream.
+func streamEvent(id int, request string) string {
+	return fmt.Sprintf("id: %d\ndata: piece %d of the answer to %s\n\n", id, id, request)
+}
+
+// wholeStream returns all events of a stream.
+func wholeStream(events int, request string) string {
+	var b strings.Builder
+	for id := 1; id <= events; id++ {
+		_, _ = b.WriteString(streamEvent(id, request))
+	}
+	return b.String()
+}
+
+// stream answers with events, in chunks or until the end of the connection, from the one after
+// Last-Event-Id on.
+func (r *replicaServer) stream(conn net.Conn, request *http.Request, header string) {
+	id := request.Header.Get("X-Citronscale-Request-Id")
+	last, _ := strconv.Atoi(request.Header.Get("Last-Event-Id")) // 0 if there is none
+	fmt.Printf("runs %s %s %s after event %d\n", id, request.Method, request.RequestURI, last)
+	time.Sleep(r.work)
+	if !r.unframed {
+		header += "Transfer-Encoding: chunked\r\n"
+	}
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%sX-Citronscale-Response-Seal: seal-of-%s\r\nContent-Type: text/event-stream\r\n\r\n", header, r.id)
+	for event := last + 1; event <= r.events; event++ {
+		text := streamEvent(event, id)
+		if !r.unframed {
+			text = fmt.Sprintf("%x\r\n%s\r\n", len(text), text)
+		}
+		if _, err := io.WriteString(conn, text); err != nil {
+			fmt.Printf("stream %s cut after event %d\n", id, event)
+			return
+		}
+		time.Sleep(r.gap)
+	}
+	if !r.unframed {
+		_, _ = io.WriteString(conn, "0\r\n\r\n")
+	}
+	fmt.Printf("answered %s whole\n", id)
+}
+
 func (r *replicaServer) answer(conn net.Conn, request *http.Request, header string, bodyBytes int) {
 	id := request.Header.Get("X-Citronscale-Request-Id")
 	fmt.Printf("runs %s %s %s, body of %d bytes, tenant %q, key %q\n", id, request.Method, request.RequestURI, bodyBytes,
@@ -106,6 +159,7 @@
 type replica struct {
 	w       *world
 	id      string
+	service string
 	link    *link
 	backend string // where the process listens
 	options []string
@@ -117,12 +171,12 @@
 }
 
 // newReplica starts a replica behind a link and registers it.
-func (w *world) newReplica(id string, options ...string) (*replica, error) {
+func (w *world) newReplica(service, id string, options ...string) (*replica, error) {
 	port, err := freePort("127.0.0.1")
 	if err != nil {
 		return nil, err
 	}
-	r := &replica{w: w, id: id, options: options, backend: fmt.Sprintf("127.0.0.1:%d", port), log: filepath.Join(w.dir, id+".log")}
+	r := &replica{w: w, service: service, id: id, options: options, backend: fmt.Sprintf("127.0.0.1:%d", port), log: filepath.Join(w.dir, id+".log")}
 	if r.link, err = newLink(w, id, r.backend); err != nil {
 		return nil, err
 	}
@@ -155,8 +209,12 @@
 // register writes the entry of the replica to the store.
 func (r *replica) register(state string) error {
 	r.seq++
+	slots := 6
+	if r.service == modelName {
+		slots = 16
+	}
 	return r.w.store.put("servers/"+r.id, map[string]any{
-		"service": appName, "address": r.link.address, "zone": zones[0], "version": "v1", "slots": 6, "state": state, "cold-ms": 0, "seq": r.seq,
+		"service": r.service, "address": r.link.address, "zone": zones[0], "version": "v1", "slots": slots, "state": state, "cold-ms": 0, "seq": r.seq,
 		"born": r.born,
 	})
 }
--- a/review/standin2/store.go
+++ b/review/standin2/store.go
@@ -155,6 +155,7 @@
 	reservePath = "/puxa403/2f" // pallet-reserve, non_idempotent
 	checkPath   = "/cufi504/2f" // stock-check, idempotent
 	notePath    = "/lohu930/2f" // stock-note, stream
+	ledgerPath  = "/pufi791/2f" // returns-ledger, stream
 )
 
 // tenant is a tenant of a published configuration.
@@ -173,6 +174,10 @@
 				"name": "r-note", "host": hostName, "prefix": "/lohu930/", "kind": "stream", "timeout-ms": 10000, "goal-ms": 300, "priority": 1,
 				"service": modelName, "attempts": 2, "public": false, "sticky": true, "can-resume": true, "gap-goal-ms": 250,
 			},
+			map[string]any{
+				"name": "r-ledger", "host": hostName, "prefix": "/pufi791/", "kind": "stream", "timeout-ms": 15000, "goal-ms": 3000, "priority": 1,
+				"service": modelName, "attempts": 2, "public": false, "sticky": true, "can-resume": true, "gap-goal-ms": 1000,
+			},
 			map[string]any{
 				"name": "r-reserve", "host": hostName, "prefix": "/puxa403/", "kind": "non_idempotent", "timeout-ms": 1500, "goal-ms": 100, "priority": 2,
 				"service": appName, "attempts": 2, "public": false,
