--- a/review/standin2/world.go
+++ b/review/standin2/world.go
@@ -9,6 +9,7 @@
 	"net"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -49,6 +50,13 @@
 		processes: map[*os.Process]bool{},
 	}
 	w.note("trouble: %v", w.trouble)
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-stop // the case takes too long
+		_ = w.close(false, errors.New("stopped"))
+		os.Exit(exitNotRun)
+	}()
 	if w.store, err = newStore(w); err != nil {
 		return nil, errors.Join(err, w.close(false, err))
 	}
