review: the platform's names of the stand-ins stand in data files

A test of the platform adapter lets no other Go file contain these names; it failed on the new stand-ins. They now come from names.json and config.json, as those of the first review do.

--- a/review/standin2/client.go
+++ b/review/standin2/client.go
@@ -49,10 +49,10 @@
 		return o
 	}
 	request.Host = hostName
-	request.Header.Set("X-Citronscale-Request-Id", o.id)
-	request.Header.Set("X-Citronscale-Deadline-Ms", strconv.FormatInt(c.deadline.Milliseconds(), 10))
+	request.Header.Set(names["request_id"], o.id)
+	request.Header.Set(names["deadline"], strconv.FormatInt(c.deadline.Milliseconds(), 10))
 	if c.key != "" {
-		request.Header.Set("X-Citronscale-Credential", c.key)
+		request.Header.Set(names["credential"], c.key)
 	}
 	for name, value := range c.header {
 		request.Header.Set(name, value)
@@ -65,8 +65,8 @@
 		body, err = io.ReadAll(response.Body)
 		_ = response.Body.Close()
 		o.status, o.body = response.StatusCode, string(body)
-		o.sealed = response.Header.Get("X-Citronscale-Response-Seal") != ""
-		o.echo = response.Header.Get("X-Citronscale-Request-Id")
+		o.sealed = response.Header.Get(names["seal"]) != ""
+		o.echo = response.Header.Get(names["request_id"])
 	}
 	o.err, o.endedAt = err, time.Now()
 	w.note("client: %s gets status %d, sealed %v, %d bytes, error %v", o.id, o.status, o.sealed, len(o.body), o.err)
--- a/review/standin2/fraction.go
+++ b/review/standin2/fraction.go
@@ -17,8 +17,8 @@
 		revokeBound = 5 * time.Second // revoke-ms
 		key2        = "anfqasnmgkcuyj8pjbvk"
 	)
-	both := []tenant{{Name: "hule930", Keys: []string{key1, key2}, Priority: 1}}
-	if err := w.store.put("op/config", config(7, both)); err != nil {
+	both := []tenant{{Name: "hule930", Keys: []string{key1, key2}}}
+	if err := w.store.put(names["config"], config(7, both)); err != nil {
 		return false, err
 	}
 	replica, err := w.newReplica(appName, "i-7f3a91c0")
@@ -40,14 +40,14 @@
 			return false, fmt.Errorf("a request with a key in force got status %d, error %w", o.status, o.err)
 		}
 	}
-	changed := config(12, []tenant{{Name: "hule930", Keys: []string{key1}, Priority: 1}})
+	changed := config(12, []tenant{{Name: "hule930", Keys: []string{key1}}})
 	usual := map[string]any{"prompt": 11402, "answer": 1259}
 	if w.trouble {
 		usual = map[string]any{"prompt": 11402.6, "answer": 1259.2}
 	}
 	engine := changed["services"].([]any)[0].(map[string]any)["engine"].(map[string]any)
 	engine["usual"] = usual
-	if err := w.store.put("op/config", changed); err != nil {
+	if err := w.store.put(names["config"], changed); err != nil {
 		return false, err
 	}
 	time.Sleep(revokeBound + time.Second)
--- a/review/standin2/lasttenant.go
+++ b/review/standin2/lasttenant.go
@@ -15,8 +15,8 @@
 // never existed and without one.
 func runLastTenant(w *world) (bool, error) {
 	const revokeBound = 5 * time.Second // revoke-ms
-	only := []tenant{{Name: "hule930", Keys: []string{key1}, Priority: 1}}
-	if err := w.store.put("op/config", config(7, only)); err != nil {
+	only := []tenant{{Name: "hule930", Keys: []string{key1}}}
+	if err := w.store.put(names["config"], config(7, only)); err != nil {
 		return false, err
 	}
 	replica, err := w.newReplica(appName, "i-7f3a91c0")
@@ -39,7 +39,7 @@
 		}
 	}
 	if w.trouble {
-		if err := w.store.put("op/config", config(12, []tenant{})); err != nil {
+		if err := w.store.put(names["config"], config(12, []tenant{})); err != nil {
 			return false, err
 		}
 	}
--- a/review/standin2/reborn.go
+++ b/review/standin2/reborn.go
@@ -17,7 +17,7 @@
 // runReborn cuts one of six replicas off while it writes answers without a length. The
 // replica crashes behind the cut and starts again under its id before the cut heals.
 func runReborn(w *world) (bool, error) {
-	if err := w.store.put("op/config", config(7, []tenant{{Name: "hule930", Keys: []string{key1}, Priority: 1}})); err != nil {
+	if err := w.store.put(names["config"], config(7, []tenant{{Name: "hule930", Keys: []string{key1}}})); err != nil {
 		return false, err
 	}
 	var replicas []*replica
--- a/review/standin2/rebornstream.go
+++ b/review/standin2/rebornstream.go
@@ -19,7 +19,7 @@
 // length nor chunks, and starts again under its id before the cut heals. The cut is shorter
 // than the keep-alive probes of the relay take to give a connection up.
 func runRebornStream(w *world) (bool, error) {
-	if err := w.store.put("op/config", config(7, []tenant{{Name: "hule930", Keys: []string{key1}, Priority: 1}})); err != nil {
+	if err := w.store.put(names["config"], config(7, []tenant{{Name: "hule930", Keys: []string{key1}}})); err != nil {
 		return false, err
 	}
 	var engines []*replica
@@ -41,8 +41,8 @@
 			outcomes[i] = w.send(w.relays[i%3], call{
 				method: "POST", path: ledgerPath, key: key1, body: []byte("ledger"), deadline: 15 * time.Second,
 				header: map[string]string{
-					"X-Citronscale-Model": "m", "X-Citronscale-Token-Counts": "40000,650",
-					"X-Citronscale-Prompt-Prefix": fmt.Sprintf("5c1e07a2:40,%x:39960", 0xe4402b00+i),
+					names["model"]: "m", names["tokens"]: "40000,650",
+					names["prompt"]: fmt.Sprintf("5c1e07a2:40,%x:39960", 0xe4402b00+i),
 				},
 			})
 		})
--- a/review/standin2/replica.go
+++ b/review/standin2/replica.go
@@ -74,8 +74,8 @@
 	if err != nil {
 		return
 	}
-	expected := request.Header.Get("X-Citronscale-Expect-Replica")
-	header := fmt.Sprintf("Connection: close\r\nX-Citronscale-Request-Id: %s\r\nX-Citronscale-Replica-Id: %s\r\n", request.Header.Get("X-Citronscale-Request-Id"), r.id)
+	expected := request.Header.Get(names["expect"])
+	header := fmt.Sprintf("Connection: close\r\n%s: %s\r\n%s: %s\r\n", names["request_id"], request.Header.Get(names["request_id"]), names["replica_id"], r.id)
 	switch {
 	case expected != "" && expected != r.id:
 		_, _ = fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\n%sContent-Length: 0\r\n\r\n", header)
@@ -114,14 +114,14 @@
 // stream answers with events, in chunks or until the end of the connection, from the one after
 // Last-Event-Id on.
 func (r *replicaServer) stream(conn net.Conn, request *http.Request, header string) {
-	id := request.Header.Get("X-Citronscale-Request-Id")
+	id := request.Header.Get(names["request_id"])
 	last, _ := strconv.Atoi(request.Header.Get("Last-Event-Id")) // 0 if there is none
 	fmt.Printf("runs %s %s %s after event %d\n", id, request.Method, request.RequestURI, last)
 	time.Sleep(r.work)
 	if !r.unframed {
 		header += "Transfer-Encoding: chunked\r\n"
 	}
-	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%sX-Citronscale-Response-Seal: seal-of-%s\r\nContent-Type: text/event-stream\r\n\r\n", header, r.id)
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s%s: seal-of-%s\r\nContent-Type: text/event-stream\r\n\r\n", header, names["seal"], r.id)
 	for event := last + 1; event <= r.events; event++ {
 		text := streamEvent(event, id)
 		if !r.unframed {
@@ -140,16 +140,16 @@
 }
 
 func (r *replicaServer) answer(conn net.Conn, request *http.Request, header string, bodyBytes int) {
-	id := request.Header.Get("X-Citronscale-Request-Id")
+	id := request.Header.Get(names["request_id"])
 	fmt.Printf("runs %s %s %s, body of %d bytes, tenant %q, key %q\n", id, request.Method, request.RequestURI, bodyBytes,
-		request.Header.Get("X-Citronscale-Tenant"), request.Header.Get("X-Citronscale-Credential"))
+		request.Header.Get(names["tenant"]), request.Header.Get(names["credential"]))
 	time.Sleep(r.work)
 	text := wholeBody(id)
 	if !r.unframed {
 		header += fmt.Sprintf("Content-Length: %d\r\n", len(text))
 	}
 	half := len(text) / 2
-	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%sX-Citronscale-Response-Seal: seal-of-%s\r\nContent-Type: text/plain\r\n\r\n%s", header, r.id, text[:half])
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s%s: seal-of-%s\r\nContent-Type: text/plain\r\n\r\n%s", header, names["seal"], r.id, text[:half])
 	time.Sleep(r.rest)
 	_, _ = io.WriteString(conn, text[half:])
 	fmt.Printf("answered %s whole\n", id)
@@ -213,8 +213,8 @@
 	if r.service == modelName {
 		slots = 16
 	}
-	return r.w.store.put("servers/"+r.id, map[string]any{
-		"service": r.service, "address": r.link.address, "zone": zones[0], "version": "v1", "slots": slots, "state": state, "cold-ms": 0, "seq": r.seq,
+	return r.w.store.put(names["servers"]+r.id, map[string]any{
+		"service": r.service, "address": r.link.address, "zone": zones[0], "version": "v1", "slots": slots, "state": state, names["warm_up"]: 0, "seq": r.seq,
 		"born": r.born,
 	})
 }
--- a/review/standin2/store.go
+++ b/review/standin2/store.go
@@ -46,9 +46,9 @@
 	}
 	s.address = listener.Addr().String()
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /kv-key", s.serveKey)
-	mux.HandleFunc("GET /kv-range", s.serveRange)
-	mux.HandleFunc("GET /kv-watch", s.serveWatch)
+	mux.HandleFunc("GET "+names["key"], s.serveKey)
+	mux.HandleFunc("GET "+names["range"], s.serveRange)
+	mux.HandleFunc("GET "+names["watch"], s.serveWatch)
 	go func() { _ = http.Serve(listener, mux) }() // until the process ends
 	return s, nil
 }
@@ -154,51 +154,22 @@
 
 	reservePath = "/puxa403/2f" // pallet-reserve, non_idempotent
 	checkPath   = "/cufi504/2f" // stock-check, idempotent
-	notePath    = "/lohu930/2f" // stock-note, stream
 	ledgerPath  = "/pufi791/2f" // returns-ledger, stream
 )
 
 // tenant is a tenant of a published configuration.
 type tenant struct {
-	Name     string   `json:"name"`
-	Keys     []string `json:"api-keys"`
-	Priority int      `json:"priority"`
+	Name string
+	Keys []string
 }
 
-// config returns a configuration with the routes of the sheet.
+// config returns a configuration with the routes and services of the sheet.
 func config(version int, tenants []tenant) map[string]any {
-	return map[string]any{
-		"version": version,
-		"routes": []any{
-			map[string]any{
-				"name": "r-note", "host": hostName, "prefix": "/lohu930/", "kind": "stream", "timeout-ms": 10000, "goal-ms": 300, "priority": 1,
-				"service": modelName, "attempts": 2, "public": false, "sticky": true, "can-resume": true, "gap-goal-ms": 250,
-			},
-			map[string]any{
-				"name": "r-ledger", "host": hostName, "prefix": "/pufi791/", "kind": "stream", "timeout-ms": 15000, "goal-ms": 3000, "priority": 1,
-				"service": modelName, "attempts": 2, "public": false, "sticky": true, "can-resume": true, "gap-goal-ms": 1000,
-			},
-			map[string]any{
-				"name": "r-reserve", "host": hostName, "prefix": "/puxa403/", "kind": "non_idempotent", "timeout-ms": 1500, "goal-ms": 100, "priority": 2,
-				"service": appName, "attempts": 2, "public": false,
-			},
-			map[string]any{
-				"name": "r-check", "host": hostName, "prefix": "/cufi504/", "kind": "idempotent", "timeout-ms": 1500, "goal-ms": 100, "priority": 2,
-				"service": appName, "attempts": 2, "public": false,
-			},
-		},
-		"services": []any{
-			map[string]any{
-				"name": modelName, "health-path": "/health", "max-conns": 819, "protocol": "h1", "tls": false,
-				"engine": map[string]any{
-					"slots": 16, "kv-capacity": 405000, "stride": 34, "step_ms": 1.31, "per_seq_ms": 0.000917, "context_per_k": 0.00213,
-					"read_per_s": 154000.0, "pairs_per_m": 0.162, "chunk": 2048, "report_lag_ms": 200.0, "hop-ms": 0.1,
-					"usual": map[string]any{"prompt": 11317, "answer": 1266},
-				},
-			},
-			map[string]any{"name": appName, "health-path": "/health", "max-conns": 248, "protocol": "h1", "tls": false},
-		},
-		"limits":  map[string]any{"max-header-bytes": 16384, "max-body-bytes": 4194304, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
-		"tenants": tenants,
+	c := mustDecode[map[string]any](configFile)
+	list := []any{} // not null
+	for _, t := range tenants {
+		list = append(list, map[string]any{"name": t.Name, names["keys"]: t.Keys, "priority": 1})
 	}
+	c["version"], c["tenants"] = version, list
+	return c
 }
