review: case 8, an entry with fields of another type is used

Another writer's entry under the id of an engine names the plain service and has numbers for its stage and models. The relay checks eight fields only and sends non-idempotent calls to the engine, which runs them.

--- a/review/standin2/replica.go
+++ b/review/standin2/replica.go
@@ -208,15 +208,21 @@
 
 // register writes the entry of the replica to the store.
 func (r *replica) register(state string) error {
+	return r.w.store.put(names["servers"]+r.id, r.entry(state))
+}
+
+// entry returns the next entry of the replica.
+func (r *replica) entry(state string) map[string]any {
 	r.seq++
-	slots := 6
+	entry := map[string]any{
+		"service": r.service, "address": r.link.address, "zone": zones[0], "version": "v1", "slots": 6, "state": state, names["warm_up"]: 0, "seq": r.seq,
+		"born": r.born,
+	}
 	if r.service == modelName {
-		slots = 16
+		entry["slots"], entry["stage"] = 16, "colocated"
+		entry["models"] = []any{map[string]any{"name": "m", "version": 1, "adapters": []any{}}}
 	}
-	return r.w.store.put(names["servers"]+r.id, map[string]any{
-		"service": r.service, "address": r.link.address, "zone": zones[0], "version": "v1", "slots": slots, "state": state, names["warm_up"]: 0, "seq": r.seq,
-		"born": r.born,
-	})
+	return entry
 }
 
 // kill ends the process as a crash does.
