--- a/review/standin2/lasttenant.go
+++ b/review/standin2/lasttenant.go
@@ -45,8 +45,8 @@
 	}
 	time.Sleep(revokeBound + time.Second)
 	var refused []outcome
-	if w.trouble {
-		refused = append(refused, check(key1)...)
+	if late := check(key1); w.trouble { // otherwise the key is still in force
+		refused = append(refused, late...)
 	}
 	refused = append(refused, check("anfqasnmgkcuyj8pjbvk")...)
 	refused = append(refused, check("")...)
--- a/review/standin2/rebornstream.go
+++ b/review/standin2/rebornstream.go
@@ -24,7 +24,7 @@
 	}
 	var engines []*replica
 	for i := range 6 {
-		e, err := w.newReplica(modelName, fmt.Sprintf("i-7f3a91c%d", i), "--unframed", "--events", fmt.Sprint(ledgerEvents), "--work", "300ms", "--gap", "50ms")
+		e, err := w.newReplica(modelName, fmt.Sprintf("i-7f3a91c%d", i), "--events", fmt.Sprint(ledgerEvents), "--work", "300ms", "--gap", "50ms", fmt.Sprintf("--unframed=%v", i < 3))
 		if err != nil {
 			return false, err
 		}
@@ -33,13 +33,20 @@
 	if err := w.startRelays(3); err != nil {
 		return false, err
 	}
+	usual := call{
+		method: "POST", path: ledgerPath, key: key1, body: []byte("ledger"), deadline: 15 * time.Second,
+		header: map[string]string{names["model"]: "m", names["tokens"]: "40000,650"},
+	}
+	if err := w.warmUp(usual, engines, 140); err != nil {
+		return false, err
+	}
 	time.Sleep(4 * time.Second) // all machines are in touch
 	outcomes := make([]outcome, 18)
 	var wg sync.WaitGroup
 	for i := range outcomes {
 		wg.Go(func() {
 			outcomes[i] = w.send(w.relays[i%3], call{
-				method: "POST", path: ledgerPath, key: key1, body: []byte("ledger"), deadline: 15 * time.Second,
+				method: "POST", path: ledgerPath + "?" + lateQuery, key: key1, body: []byte("ledger"), deadline: 15 * time.Second,
 				header: map[string]string{
 					names["model"]: "m", names["tokens"]: "40000,650",
 					names["prompt"]: fmt.Sprintf("5c1e07a2:40,%x:39960", 0xe4402b00+i),
@@ -50,8 +57,8 @@
 	}
 	time.Sleep(50 * time.Millisecond)
 	cut := engines[0]
-	for _, e := range engines { // the one with most streams
-		if strings.Count(e.output(), "runs ") > strings.Count(cut.output(), "runs ") {
+	for _, e := range engines[:3] { // the one with most late streams, among those with unframed ones
+		if strings.Count(e.output(), lateQuery) > strings.Count(cut.output(), lateQuery) {
 			cut = e
 		}
 	}
@@ -77,14 +84,15 @@
 			broken = true
 		}
 	}
-	for _, e := range engines {
-		w.note("output of %s:\n%s", e.id, e.output())
+	if err := checkUnframed(engines); err != nil {
+		return broken, err
 	}
+	w.note("output of %s:\n%s", cut.id, cut.output())
 	for _, r := range w.relays {
-		w.noteLog(r, cut.id)
+		w.noteLog(r, `"upstream up"`, "unframed end")
 	}
-	if ran := strings.Count(cut.output(), "runs "); ran == 0 || served == 0 {
-		return broken, fmt.Errorf("the engine ran %d streams, %d were served", ran, served)
+	if late := cut.count("unframed"); late == 0 || served == 0 {
+		return broken, fmt.Errorf("the engine gave %d late answers, %d were served", late, served)
 	}
 	return broken, nil
 }
--- a/review/standin2/replica.go
+++ b/review/standin2/replica.go
@@ -11,8 +11,10 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -32,11 +34,11 @@
 	address := flags.String("address", "", "IP:port to listen at")
 	id := flags.String("id", "", "identifier")
 	born := flags.Int64("born", 0, "start in Unix milliseconds")
-	unframed := flags.Bool("unframed", false, "answers end with their connection")
-	work := flags.Duration("work", 15*time.Millisecond, "time until the answer begins")
-	rest := flags.Duration("rest", 0, "time between the halves of the answer")
+	unframed := flags.Bool("unframed", false, "answers to late requests end with their connection")
+	work := flags.Duration("work", 15*time.Millisecond, "time until the answer to a late request begins")
+	rest := flags.Duration("rest", 0, "time between the halves of the answer to a late request")
 	events := flags.Int("events", 0, "events of a stream; 0 for a plain service")
-	gap := flags.Duration("gap", 0, "time between two events")
+	gap := flags.Duration("gap", 0, "time between two events of the answer to a late request")
 	if err := flags.Parse(args); err != nil {
 		return err
 	}
@@ -111,29 +113,42 @@
 	return b.String()
 }
 
+// lateQuery marks the requests whose answers take the times of the flags, and are unframed if
+// the replica has such answers. Others are answered within some milliseconds.
+const lateQuery = "late=1"
+
+// usualWork is the time until the answer to another request begins.
+const usualWork = 15 * time.Millisecond
+
 // stream answers with events, in chunks or until the end of the connection, from the one after
 // Last-Event-Id on.
 func (r *replicaServer) stream(conn net.Conn, request *http.Request, header string) {
 	id := request.Header.Get(names["request_id"])
 	last, _ := strconv.Atoi(request.Header.Get("Last-Event-Id")) // 0 if there is none
 	fmt.Printf("runs %s %s %s after event %d\n", id, request.Method, request.RequestURI, last)
-	time.Sleep(r.work)
-	if !r.unframed {
+	work, gap, unframed := usualWork, time.Millisecond, false
+	if request.URL.RawQuery == lateQuery {
+		work, gap, unframed = r.work, r.gap, r.unframed
+	}
+	time.Sleep(work)
+	if unframed {
+		fmt.Printf("unframed %s\n", id)
+	} else {
 		header += "Transfer-Encoding: chunked\r\n"
 	}
 	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s%s: seal-of-%s\r\nContent-Type: text/event-stream\r\n\r\n", header, names["seal"], r.id)
 	for event := last + 1; event <= r.events; event++ {
 		text := streamEvent(event, id)
-		if !r.unframed {
+		if !unframed {
 			text = fmt.Sprintf("%x\r\n%s\r\n", len(text), text)
 		}
 		if _, err := io.WriteString(conn, text); err != nil {
 			fmt.Printf("stream %s cut after event %d\n", id, event)
 			return
 		}
-		time.Sleep(r.gap)
+		time.Sleep(gap)
 	}
-	if !r.unframed {
+	if !unframed {
 		_, _ = io.WriteString(conn, "0\r\n\r\n")
 	}
 	fmt.Printf("answered %s whole\n", id)
@@ -143,14 +158,20 @@
 	id := request.Header.Get(names["request_id"])
 	fmt.Printf("runs %s %s %s, body of %d bytes, tenant %q, key %q\n", id, request.Method, request.RequestURI, bodyBytes,
 		request.Header.Get(names["tenant"]), request.Header.Get(names["credential"]))
-	time.Sleep(r.work)
+	work, rest, unframed := usualWork, time.Duration(0), false
+	if request.URL.RawQuery == lateQuery {
+		work, rest, unframed = r.work, r.rest, r.unframed
+	}
+	time.Sleep(work)
 	text := wholeBody(id)
-	if !r.unframed {
+	if unframed {
+		fmt.Printf("unframed %s\n", id)
+	} else {
 		header += fmt.Sprintf("Content-Length: %d\r\n", len(text))
 	}
 	half := len(text) / 2
 	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s%s: seal-of-%s\r\nContent-Type: text/plain\r\n\r\n%s", header, names["seal"], r.id, text[:half])
-	time.Sleep(r.rest)
+	time.Sleep(rest)
 	_, _ = io.WriteString(conn, text[half:])
 	fmt.Printf("answered %s whole\n", id)
 }
@@ -232,6 +253,44 @@
 	r.w.note("replica %s crashed", r.id)
 }
 
+// count returns how many lines the processes of the replica have printed that begin with a
+// word.
+func (r *replica) count(word string) int {
+	return strings.Count("\n"+r.output(), "\n"+word+" ")
+}
+
+// maxUnframed is the share of its answers that a replica may give without a length, as the
+// largest dose of the site's days says.
+const maxUnframed = 0.05
+
+// checkUnframed returns an error if a replica has given more unframed answers than that.
+func checkUnframed(replicas []*replica) error {
+	for _, r := range replicas {
+		runs, unframed := r.count("runs"), r.count("unframed")
+		r.w.note("replica %s: %d of %d answers unframed", r.id, unframed, runs)
+		if float64(unframed) > maxUnframed*float64(runs) {
+			return fmt.Errorf("replica %s gave %d of %d answers without a length", r.id, unframed, runs)
+		}
+	}
+	return nil
+}
+
+// warmUp sends usual requests until each replica has run some.
+func (w *world) warmUp(c call, replicas []*replica, runs int) error {
+	const clients, most = 24, 400
+	for range most {
+		var wg sync.WaitGroup
+		for i := range clients {
+			wg.Go(func() { w.send(w.relays[i%len(w.relays)], c) })
+		}
+		wg.Wait()
+		if !slices.ContainsFunc(replicas, func(r *replica) bool { return r.count("runs") < runs }) {
+			return nil
+		}
+	}
+	return fmt.Errorf("no %d requests reached each replica", runs)
+}
+
 // output returns what the processes of the replica have printed.
 func (r *replica) output() string {
 	data, err := os.ReadFile(r.log)
