platform: a configuration without its last team still requires keys

Cause: the decoder made the same empty slice of an empty list and of a missing one, and Table.HasTeams took it for a deployment without keys.

Ruled out: a host that had not accepted the configuration.

Change: the list records whether it was published; a published list requires keys, whatever it holds. Without the field no key is needed, as the users' page says (docs/QUESTIONS.md).

Related paths: retries, second sends, resumed streams and explain use the same check. citrond has no deployment without keys; TestDocumentWithoutTeamsAuthenticatesNobody passed at once.

--- a/config/config_test.go
+++ b/config/config_test.go
@@ -79,6 +79,17 @@
 	}
 }
 
+// Guards against a document whose last team was removed and that then admits everybody.
+func TestDocumentWithoutTeamsAuthenticatesNobody(t *testing.T) {
+	for _, text := range []string{"format = 1", "format = 1\n[teams]", "format = 1\nteams = {}"} {
+		c := mustParse(t, text)
+		for _, token := range []string{"", "shop-token"} {
+			_, ok := c.Authenticate(token)
+			assert.Assert(t, !ok, "document %q, token %q", text, token)
+		}
+	}
+}
+
 func TestNonIdempotentCalls(t *testing.T) {
 	s := mustParse(t, sampleDocument()).Services["booking"]
 	assert.Assert(t, s.IsNonIdempotent("POST", "/bookings"))
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -166,7 +166,7 @@
 // authorize returns the name of the team that holds a key, or the empty string if
 // the route needs no key.
 func (s *Server) authorize(table *route.Table, r *route.Route, key string) (string, error) {
-	if r.Public || !table.HasTeams() {
+	if r.Public || !table.RequiresKeys() {
 		return "", nil
 	}
 	if s.options.FailClosed && !s.Fresh() {
--- a/route/config.go
+++ b/route/config.go
@@ -38,7 +38,10 @@
 	Routes   []Route
 	Services map[string]Service
 	Teams    []Team
-	Limits   Limits
+	// RequireKeys makes routes that are not public require a key although Teams is empty. It
+	// is implied if there are teams.
+	RequireKeys bool
+	Limits      Limits
 }
 
 // Route sends the requests of one host and path prefix to services.
--- a/route/table.go
+++ b/route/table.go
@@ -74,10 +74,9 @@
 	return nil
 }
 
-// HasTeams reports whether teams are configured; only then do routes that are
-// not public require a key.
-func (t *Table) HasTeams() bool {
-	return len(t.config.Teams) > 0
+// RequiresKeys reports whether routes that are not public require a key.
+func (t *Table) RequiresKeys() bool {
+	return t.config.RequireKeys || len(t.config.Teams) > 0
 }
 
 // Team returns the team to which a key belongs, or nil.
