route: an empty key in the list of a team admits nobody

What callers saw: with an empty entry among the keys of a team, requests without a key ran under the name of that team.

Cause: a missing key is looked up as the empty text, and the table held the empty entry.

Evidence: TestEmptyKeyOfATeamAdmitsNobody failed before (200 instead of 401).

Change: NewTable drops the empty key, so all that look a key up are covered.

Result: the test holds, as do those of route and TestConfigurationWithoutTeamsStillRequiresKeys.

--- a/route/table.go
+++ b/route/table.go
@@ -37,6 +37,7 @@
 			t.keys[key] = &config.Teams[i]
 		}
 	}
+	delete(t.keys, "") // a caller without a key
 	return t, nil
 }
 
