config: a missing token authenticates nobody, whatever is published

What callers saw: on citrond, a team published with the digest of the empty text admitted callers that send no token.

Evidence: TestMissingTokenAuthenticatesNobody failed before. Found while reading; nobody publishes such a digest by accident but for a script that hashes an empty variable.

Change: Authenticate refuses the empty token after the lookup, so that its time tells nothing.

Result: the test and those of config hold.

--- a/config/config.go
+++ b/config/config.go
@@ -84,12 +84,12 @@
 	return c.defaults
 }
 
-// Authenticate returns the team that the token belongs to. It hashes the token
-// and looks the digest up, so its duration depends neither on the number of
+// Authenticate returns the team that the token belongs to; an empty token belongs to
+// none. It hashes the token and looks the digest up, so its duration depends neither on the number of
 // teams nor on how many characters of a wrong token match.
 func (c *Config) Authenticate(token string) (team string, ok bool) {
 	index, ok := c.teamTokens[digestToken(token)]
-	if !ok {
+	if !ok || token == "" {
 		return "", false
 	}
 	return c.teamNames[index], true
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -90,6 +90,12 @@
 	}
 }
 
+// Guards against callers without a token that run as a team with the digest of an empty one.
+func TestMissingTokenAuthenticatesNobody(t *testing.T) {
+	_, ok := mustParse(t, fmt.Sprintf("format = 1\n[teams]\nshop = %q", HashToken(""))).Authenticate("")
+	assert.Assert(t, !ok)
+}
+
 func TestNonIdempotentCalls(t *testing.T) {
 	s := mustParse(t, sampleDocument()).Services["booking"]
 	assert.Assert(t, s.IsNonIdempotent("POST", "/bookings"))
