sentconn: a reset that a write saw is not read as a proper end

Cause: the kernel reports a reset to the first system call that asks. net/http writes the request and reads the answer in two goroutines; if the write got the reset, the read saw a proper end, which ends an answer without a length.

Ruled out: the identity check and the body limit, which both saw a whole answer; framed answers, which end with io.ErrUnexpectedEOF.

TestReadFailsIfAWriteGotTheReset plays the order of the two calls without a network.

Related paths: both daemons use these connections. citrond refuses answers without a length, and its streams have an end marker.

--- a/internal/sentconn/doc.go
+++ b/internal/sentconn/doc.go
@@ -5,4 +5,7 @@
 // was written for it. The clients in upstream/enginehttp and
 // upstream/servicehttp use it to distinguish SentNothing from SentSome. It works
 // only with HTTP/1, where a connection carries one request at a time.
+//
+// A read from these connections returns io.EOF only if the peer ended them properly, also if
+// the write of a request got the reset.
 package sentconn
--- a/internal/sentconn/sentconn.go
+++ b/internal/sentconn/sentconn.go
@@ -11,14 +11,14 @@
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
 // Dial returns a DialFunc that wraps the connections of dial, so that a Watch can
-// count their bytes.
+// count their bytes and a reset is not read as the end of an answer.
 func Dial(dial DialFunc) DialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		inner, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		return &conn{Conn: inner}, nil
+		return newConn(inner), nil
 	}
 }
 
@@ -26,9 +26,18 @@
 // subtracted if the write reports that it was not sent.
 type conn struct {
 	net.Conn
-	mu     sync.Mutex
-	sent   uint64
-	closed bool
+	mu       sync.Mutex
+	written  sync.Cond // signalled when a write ends
+	writing  int       // writes that have begun and not ended
+	writeErr error     // of the first write that failed
+	sent     uint64
+	closed   bool
+}
+
+func newConn(inner net.Conn) *conn {
+	c := &conn{Conn: inner}
+	c.written.L = &c.mu
+	return c
 }
 
 func (c *conn) Write(p []byte) (int, error) {
@@ -36,9 +45,7 @@
 		return 0, err
 	}
 	n, err := c.Conn.Write(p)
-	c.mu.Lock()
-	c.sent -= uint64(len(p) - n)
-	c.mu.Unlock()
+	c.end(len(p)-n, err)
 	return n, err
 }
 
@@ -49,9 +56,21 @@
 		return net.ErrClosed
 	}
 	c.sent += uint64(size)
+	c.writing++
 	return nil
 }
 
+func (c *conn) end(unsent int, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sent -= uint64(unsent)
+	c.writing--
+	if c.writeErr == nil {
+		c.writeErr = err
+	}
+	c.written.Broadcast()
+}
+
 func (c *conn) Close() error {
 	c.mu.Lock()
 	c.closed = true
--- a/internal/sentconn/sentconn_test.go
+++ b/internal/sentconn/sentconn_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -55,6 +57,36 @@
 	assert.Assert(t, !send(t, cancelled, 1000))
 }
 
+// lateResetConn ends properly for a read while a write waits, and then fails the write.
+type lateResetConn struct {
+	net.Conn
+	writing, ended chan struct{}
+}
+
+func (c *lateResetConn) Read([]byte) (int, error) {
+	<-c.writing
+	close(c.ended)
+	return 0, io.EOF
+}
+
+func (c *lateResetConn) Write([]byte) (int, error) {
+	close(c.writing)
+	<-c.ended
+	return 0, syscall.ECONNRESET
+}
+
+// Guards against a reset that the write of a request hides from the read of its answer.
+func TestReadFailsIfAWriteGotTheReset(t *testing.T) {
+	inner := &lateResetConn{writing: make(chan struct{}), ended: make(chan struct{})}
+	conn, err := sentconn.Dial(func(context.Context, string, string) (net.Conn, error) { return inner, nil })(t.Context(), "tcp", "")
+	assert.NilError(t, err)
+	go func() { _, _ = conn.Write([]byte("body")) }()
+	_, err = conn.Read(make([]byte, 1))
+	assert.ErrorIs(t, err, sentconn.ErrBrokenOff)
+	assert.ErrorIs(t, err, syscall.ECONNRESET)
+	assert.Assert(t, !errors.Is(err, io.EOF))
+}
+
 func TestSentIsTrueForUncountedConnection(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
