Answers with a status line that HTTP/1 does not allow are no answers

On citrond an engine's answer with such a status and a refusal header counted as not run, though the request may have run.

Cause: the client of net/http takes any three characters that make a number and any version; its server panics below 100. Nothing between checked the status line.

Evidence: TestStatusThatHTTPDoesNotAllowIsNoAnswer failed before by "invalid WriteHeader code 0"; the tests of servicehttp and enginehttp failed before as well (no error; "refused (busy)").

Change: statusline.Check, used by the three clients of upstreams before any header is believed. The attempt ends with AnswerIncomplete: another upstream where the request may be repeated, 502 otherwise.

Related paths: orders, reports, health checks and the store count success by one status only.

Result: 14 status lines on four kinds of route, with and without the not-run header, give 502 without a seal.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -18,6 +18,7 @@
 	"github.com/citronscale/citronscale/internal/boottime"
 	"github.com/citronscale/citronscale/internal/endtoend"
 	"github.com/citronscale/citronscale/internal/sentconn"
+	"github.com/citronscale/citronscale/internal/statusline"
 	"github.com/citronscale/citronscale/retry"
 	"github.com/citronscale/citronscale/route"
 )
@@ -70,6 +71,10 @@
 		return nil, failure
 	}
 	a.response = response
+	if err := statusline.Check(response); err != nil {
+		a.close()
+		return nil, code.New(code.AnswerIncomplete, "answer of upstream %s: %w", a.upstream.ID, err)
+	}
 	a.answer = x.s.dialect.Answer(response.StatusCode, response.Header)
 	x.framing = a.framing()
 	x.s.metrics.RelayAnswered(x.route.Kind.String(), string(x.framing))
--- a/upstream/enginehttp/send.go
+++ b/upstream/enginehttp/send.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/citronscale/citronscale/internal/sentconn"
+	"github.com/citronscale/citronscale/internal/statusline"
 	"github.com/citronscale/citronscale/upstream"
 	"github.com/citronscale/citronscale/upstream/enginewire"
 )
@@ -43,6 +44,10 @@
 		_ = resp.Body.Close()
 		return nil, e.sendError(watch, timedOut, context.Canceled)
 	}
+	if err := statusline.Check(resp); err != nil {
+		_ = resp.Body.Close()
+		return nil, e.responseError(ctx, err)
+	}
 	if resp.StatusCode != http.StatusOK {
 		defer func() { _ = resp.Body.Close() }()
 		return nil, e.statusError(resp)
--- a/upstream/servicehttp/service.go
+++ b/upstream/servicehttp/service.go
@@ -12,6 +12,7 @@
 	"github.com/citronscale/citronscale/code"
 	"github.com/citronscale/citronscale/internal/endtoend"
 	"github.com/citronscale/citronscale/internal/sentconn"
+	"github.com/citronscale/citronscale/internal/statusline"
 	"github.com/citronscale/citronscale/upstream"
 	"github.com/citronscale/citronscale/upstream/enginewire"
 )
@@ -35,6 +36,9 @@
 		return nil, s.callError(watch, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if err := statusline.Check(resp); err != nil {
+		return nil, &upstream.Error{Upstream: s.name, Sent: upstream.SentSome, Err: code.Wrap(err, code.AnswerIncomplete)}
+	}
 	if refusal := resp.Header.Get(enginewire.HeaderNotRun); refusal != "" {
 		return nil, s.refusalError(resp, refusal)
 	}
