Hosts follow a store that comes back from an older copy

Cause: revisions alone ordered changes, in the feed, in mirror and between peers; the copy gives them out again. Nothing read the header Store-Era.

Change: a position is an era and a revision, the era first (mirror.Position). An answer of a later era makes a host list the store whole and replace its content in one step; one of an earlier era changes and confirms nothing. Confirmations and fetches of peers carry the era and the version of the configuration in force, so that hosts that don't read the store, or started after it had lost the configuration, get it from their peers.

Tests of positions were adapted to the new type; their checks are the same.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -51,6 +51,8 @@
 	ConfigFresh      = Event{306, "configuration confirmed", log.InfoLevel, "The configuration is confirmed again.", ""}
 	EntryUnreadable  = Event{307, "entry unreadable", log.WarnLevel, "An entry of the platform can't be read and names no upstream.", "Look for the writer of the entry."}
 	HistoryLost      = Event{308, "history lost", log.InfoLevel, "Changes may have been missed; everything is read anew.", ""}
+	EraChanged       = Event{309, "source came back from an older copy", log.WarnLevel, "The source lost what was written after the copy was made; the line holds both positions, what the copy lacks and what it has that was removed.", "Check that the newest configuration and evacuations are published again."}
+	FormerEraIgnored = Event{310, "answer of a former era", log.WarnLevel, "The source or a peer answered from before the source came back from an older copy; the answer changed nothing.", "None if it is rare; else look for a path to the former source."}
 	ConfigSourceBack = Event{304, "configuration source back", log.InfoLevel, "The configuration service answers again.", ""}
 )
 
@@ -95,7 +97,7 @@
 	RequestAdmitted, RequestFinished, RequestRefused, RequestFailed,
 	AttemptStarted, AttemptFailed, AttemptRetried, RequestRelayed, StreamResumed, UnframedEnd, LinesDropped, RequestWaits, TeamOverShare, RequestHedged,
 	ConfigAccepted, ConfigRejected, ConfigOlder, ConfigSourceDown, ConfigSourceBack,
-	ConfigStale, ConfigFresh, EntryUnreadable, HistoryLost,
+	ConfigStale, ConfigFresh, EntryUnreadable, HistoryLost, EraChanged, FormerEraIgnored,
 	PeerJoined, PeerSuspect, PeerLost, PeerLeaving, AnnouncementUnreadable, PeerFetchFailed,
 	UpstreamUp, UpstreamDown, UpstreamLeaving, UpstreamReclaimed, UpstreamOrdered,
 	UpstreamOrderFailed, ContentStruck, ContentQuarantined, QuarantineLifted,
--- a/fleet/set.go
+++ b/fleet/set.go
@@ -116,6 +116,18 @@
 	return ok
 }
 
+// Upstream returns the published state of an upstream, or nil if the set doesn't hold it.
+func (s *Set) Upstream(id string) *Upstream {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m, ok := s.members[id]
+	if !ok {
+		return nil
+	}
+	u := m.upstream
+	return &u
+}
+
 // IDs returns the sorted identifiers of all upstreams.
 func (s *Set) IDs() []string {
 	s.mu.Lock()
--- a/internal/relayd/daemon.go
+++ b/internal/relayd/daemon.go
@@ -117,7 +117,7 @@
 		},
 		peering.Parts{
 			Ledger: d.ledger, Upstreams: d.upstreams, Key: relay.EngineKey, Log: d.log, Rng: newRng(),
-			SourceRecovered: d.feed.Retry, Vouched: d.feed.Vouched, Age: d.feed.Age,
+			SourceRecovered: d.feed.Retry, Vouched: d.feed.Vouched, Age: d.feed.Age, ConfigVersion: d.feed.ConfigVersion,
 			SourceOutageAge: d.feed.OutageAge, Mirror: d.feed.Mirror(), Evidence: d.quarantine, Limits: d.limits, Paces: d.paces,
 			Standing: d.standing,
 		},
@@ -152,7 +152,11 @@
 
 // gauges returns the values that are read at each scrape of the metrics.
 func (d *Daemon) gauges() metrics.RelayGauges {
-	return metrics.RelayGauges{EvacuatedDomains: len(d.upstreams.Evacuated()), ColdUpstreams: d.upstreams.Cold(boottime.Now())}
+	eras := d.feed.Eras()
+	return metrics.RelayGauges{
+		EvacuatedDomains: len(d.upstreams.Evacuated()), ColdUpstreams: d.upstreams.Cold(boottime.Now()),
+		SourceEra: eras.Era, SourceRestores: eras.Changes, FormerEraAnswers: eras.Ignored,
+	}
 }
 
 func share(share float64, of time.Duration) time.Duration {
--- a/internal/relayd/listeners.go
+++ b/internal/relayd/listeners.go
@@ -103,6 +103,7 @@
 	Ready     bool          `json:"ready"`
 	Version   uint64        `json:"config_version"`
 	ConfigAge time.Duration `json:"config_age_ns"`
+	SourceEra uint64        `json:"source_era"` // 0 if the platform tells none
 	InFlight  int64         `json:"in_flight"`
 	Hosts     int           `json:"hosts"`
 	Group     int           `json:"group"`  // number of the group in the failure domain
@@ -127,7 +128,7 @@
 	state := string(d.machine.State())
 	d.mu.Unlock()
 	out := dump{
-		Host: d.settings.Host, State: state, Ready: d.ready.Load(), ConfigAge: d.routes.Age(now),
+		Host: d.settings.Host, State: state, Ready: d.ready.Load(), ConfigAge: d.routes.Age(now), SourceEra: d.feed.Eras().Era,
 		InFlight: d.relay.InFlight(), Hosts: d.node.Hosts(), Upstreams: d.upstreams.IDs(), Evacuated: d.upstreams.Evacuated(), Streams: d.ledger.All(now),
 		Quarantines: d.quarantine.Entries(now), Limits: d.relay.Limits(now), Admission: d.relay.Admission(now), Standings: d.relay.Standings(now),
 		Hedging: d.relay.Hedging(now),
--- a/metrics/levels.go
+++ b/metrics/levels.go
@@ -27,6 +27,9 @@
 type RelayGauges struct {
 	EvacuatedDomains int
 	ColdUpstreams    int // whose service bounds the requests to cold ones
+	SourceEra        uint64
+	SourceRestores   int64 // times that the source came back from an older copy
+	FormerEraAnswers int64
 }
 
 // ObserveRelayGauges registers read as the source of the gauges of a relay host. The
@@ -41,8 +44,11 @@
 		now := read()
 		o.ObserveInt64(g.evacuated, int64(now.EvacuatedDomains))
 		o.ObserveInt64(g.cold, int64(now.ColdUpstreams))
+		o.ObserveInt64(g.era, int64(now.SourceEra))
+		o.ObserveInt64(g.restores, now.SourceRestores)
+		o.ObserveInt64(g.formerEra, now.FormerEraAnswers)
 		return nil
-	}, g.evacuated, g.cold)
+	}, g.evacuated, g.cold, g.era, g.restores, g.formerEra)
 	return err
 }
 
--- a/metrics/relay.go
+++ b/metrics/relay.go
@@ -24,6 +24,9 @@
 	standing   metric.Int64Counter
 	badPauses  metric.Int64Counter
 	evacuated  metric.Int64ObservableGauge
+	era        metric.Int64ObservableGauge
+	restores   metric.Int64ObservableGauge
+	formerEra  metric.Int64ObservableGauge
 	slow       metric.Int64Gauge
 	cold       metric.Int64ObservableGauge
 }
@@ -45,6 +48,9 @@
 		prediction: b.seconds("relay_prediction_error", "First event of a stream, later than predicted.", predictionBuckets),
 		crashes:    b.counter("relay_upstream_crashes", "", "Requests whose upstream crashed before it began the answer."),
 		hedges:     b.counter("relay_hedges", "", "Second sends of slow requests, by kind and by result: sent, and of these won or wasted, and refused for lack of budget."),
+		era:        b.gauge("relay_source_era", "", "Era of the source of the configuration; 0 if it tells none."),
+		restores:   b.gauge("relay_source_restores", "", "Times that the source came back from an older copy since the host started."),
+		formerEra:  b.gauge("relay_former_era_answers", "", "Answers of the source and of peers that were from before the source came back, since the host started."),
 		evacuated:  b.gauge("relay_evacuated_domains", "", "Failure domains that are evacuated."),
 		cold:       b.gauge("relay_cold_upstreams", "", "Upstreams to which requests are bounded because they are cold."),
 		quarantine: b.level("relay_quarantines", "Combinations of prompt parts that are refused at present."),
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -11,72 +11,76 @@
 	"github.com/citronscale/citronscale/mirror"
 )
 
+func at(revision uint64) mirror.Position {
+	return mirror.Position{Revision: revision}
+}
+
 func entry(key string, revision uint64) mirror.Entry {
 	return mirror.Entry{Key: key, Value: []byte(fmt.Sprint(key, revision)), Revision: revision}
 }
 
 func TestSinceReturnsChangesAndRemovals(t *testing.T) {
 	s := mirror.NewState()
-	s.Replace(5, []mirror.Entry{entry("a", 3), entry("b", 4)})
-	s.Advance(8, []mirror.Entry{entry("c", 6), {Key: "a", Revision: 7, Deleted: true}})
-	s.Advance(9, []mirror.Entry{entry("c", 2)})
-	assert.DeepEqual(t, s.Since(5), mirror.Delta{Position: 9, Entries: []mirror.Entry{{Key: "a", Revision: 7, Deleted: true}, entry("c", 6)}})
-	assert.DeepEqual(t, s.Since(0), mirror.Delta{Position: 9, Complete: true, Entries: []mirror.Entry{entry("b", 4), entry("c", 6)}})
+	s.Replace(at(5), []mirror.Entry{entry("a", 3), entry("b", 4)})
+	s.Advance(at(8), []mirror.Entry{entry("c", 6), {Key: "a", Revision: 7, Deleted: true}})
+	s.Advance(at(9), []mirror.Entry{entry("c", 2)})
+	assert.DeepEqual(t, s.Since(at(5)), mirror.Delta{Position: at(9), Entries: []mirror.Entry{{Key: "a", Revision: 7, Deleted: true}, entry("c", 6)}})
+	assert.DeepEqual(t, s.Since(at(0)), mirror.Delta{Position: at(9), Complete: true, Entries: []mirror.Entry{entry("b", 4), entry("c", 6)}})
 	position, changed := s.Position()
-	assert.Equal(t, position, uint64(9))
+	assert.Equal(t, position, at(9))
 	assert.Equal(t, changed, uint64(7))
 }
 
 func TestReplaceRemovesWhatIsNotListed(t *testing.T) {
 	s := mirror.NewState()
-	s.Replace(5, []mirror.Entry{entry("a", 3), entry("b", 4)})
-	s.Replace(9, []mirror.Entry{entry("b", 4)})
-	assert.DeepEqual(t, s.Since(5), mirror.Delta{Position: 9, Entries: []mirror.Entry{{Key: "a", Revision: 9, Deleted: true}}, Keys: []string{"b"}})
-	assert.DeepEqual(t, s.Since(9), mirror.Delta{Position: 9})
+	s.Replace(at(5), []mirror.Entry{entry("a", 3), entry("b", 4)})
+	s.Replace(at(9), []mirror.Entry{entry("b", 4)})
+	assert.DeepEqual(t, s.Since(at(5)), mirror.Delta{Position: at(9), Entries: []mirror.Entry{{Key: "a", Revision: 9, Deleted: true}}, Keys: []string{"b"}})
+	assert.DeepEqual(t, s.Since(at(9)), mirror.Delta{Position: at(9)})
 }
 
 // Guards against an entry that is kept for ever by a host that heard of it elsewhere: it came
 // and went between two lists.
 func TestHostBehindAListHearsOfAllKeys(t *testing.T) {
 	reader, follower := mirror.NewState(), mirror.NewState()
-	reader.Replace(5, []mirror.Entry{entry("a", 3)})
-	follower.Replace(5, []mirror.Entry{entry("a", 3)})
-	follower.Advance(6, []mirror.Entry{entry("gone", 6), entry("newer", 12)})
-	reader.Replace(9, []mirror.Entry{entry("a", 3)})
+	reader.Replace(at(5), []mirror.Entry{entry("a", 3)})
+	follower.Replace(at(5), []mirror.Entry{entry("a", 3)})
+	follower.Advance(at(6), []mirror.Entry{entry("gone", 6), entry("newer", 12)})
+	reader.Replace(at(9), []mirror.Entry{entry("a", 3)})
 	_, changed := reader.Position()
 	assert.Equal(t, changed, uint64(9))
-	delta := reader.Since(6)
+	delta := reader.Since(at(6))
 	assert.Assert(t, !delta.Complete)
 	follower.Retain(delta.Position, delta.Keys)
 	follower.Advance(delta.Position, delta.Entries)
 	var keys []string
-	for _, e := range follower.Since(0).Entries {
+	for _, e := range follower.Since(at(0)).Entries {
 		keys = append(keys, e.Key)
 	}
 	assert.DeepEqual(t, keys, []string{"a", "newer"})
-	assert.DeepEqual(t, follower.Since(6).Keys, keys)
+	assert.DeepEqual(t, follower.Since(at(6)).Keys, keys)
 }
 
 // The pages of a list are no snapshot: an entry may be newer than the position. A peer
 // must not be told of a change that it can't fetch up to.
 func TestChangedIsNeverAfterThePosition(t *testing.T) {
 	s := mirror.NewState()
-	s.Replace(5, []mirror.Entry{entry("a", 7)})
+	s.Replace(at(5), []mirror.Entry{entry("a", 7)})
 	_, changed := s.Position()
 	assert.Equal(t, changed, uint64(5))
-	assert.Equal(t, len(s.Since(5).Entries), 1)
+	assert.Equal(t, len(s.Since(at(5)).Entries), 1)
 }
 
 func TestHostFarBehindGetsEverything(t *testing.T) {
 	s := mirror.NewState()
 	for revision := uint64(1); revision <= 5000; revision++ {
-		s.Advance(revision, []mirror.Entry{{Key: fmt.Sprint("gone-", revision), Revision: revision, Deleted: true}})
+		s.Advance(at(revision), []mirror.Entry{{Key: fmt.Sprint("gone-", revision), Revision: revision, Deleted: true}})
 	}
-	s.Advance(5001, []mirror.Entry{entry("a", 5001)})
-	assert.Assert(t, s.Since(10).Complete)
-	assert.Equal(t, len(s.Since(10).Entries), 1)
-	assert.Assert(t, !s.Since(4999).Complete)
-	assert.Equal(t, len(s.Since(4999).Entries), 2)
+	s.Advance(at(5001), []mirror.Entry{entry("a", 5001)})
+	assert.Assert(t, s.Since(at(10)).Complete)
+	assert.Equal(t, len(s.Since(at(10)).Entries), 1)
+	assert.Assert(t, !s.Since(at(4999)).Complete)
+	assert.Equal(t, len(s.Since(at(4999)).Entries), 2)
 }
 
 func TestCompressedValueIsUnchanged(t *testing.T) {
@@ -149,8 +153,8 @@
 func TestHostThatStartedLaterDoesNotHideRemovals(t *testing.T) {
 	peerPosition := uint64(100) // of a peer that still holds the removed entry "b"
 	s := mirror.NewState()
-	s.Replace(115, []mirror.Entry{entry("a", 95)}) // "b" was removed at 110
+	s.Replace(at(115), []mirror.Entry{entry("a", 95)}) // "b" was removed at 110
 	_, changed := s.Position()
 	assert.Assert(t, changed > peerPosition)
-	assert.Assert(t, s.Since(peerPosition).Complete)
+	assert.Assert(t, s.Since(at(peerPosition)).Complete)
 }
--- a/peering/fetch.go
+++ b/peering/fetch.go
@@ -56,22 +56,22 @@
 // compressedValue is a compressed value, kept because all hosts of a group fetch it
 // at about the same time.
 type compressedValue struct {
-	revision uint64
+	position mirror.Position
 	data     []byte
 }
 
 // Fetch implements loadv1connect.MirrorServiceHandler.
 func (s *entryServer) Fetch(_ context.Context, request *connect.Request[loadv1.FetchRequest]) (*connect.Response[loadv1.FetchResponse], error) {
 	age := s.parts.Age() // before the entries, as in a confirmation
-	delta := s.parts.Mirror.Since(request.Msg.GetPosition())
+	delta := s.parts.Mirror.Since(mirror.Position{Era: request.Msg.GetEra(), Revision: request.Msg.GetPosition()})
 	response := &loadv1.FetchResponse{
-		Position: delta.Position, Complete: delta.Complete, AgeMs: ageMillis(age), RecoveredMs: ageMillis(s.parts.SourceOutageAge()),
+		Position: delta.Position.Revision, Era: delta.Position.Era, Complete: delta.Complete, AgeMs: ageMillis(age), RecoveredMs: ageMillis(s.parts.SourceOutageAge()),
 		Keys: delta.Keys,
 	}
 	for _, e := range delta.Entries {
 		out := &loadv1.Entry{Key: e.Key, Value: e.Value, Revision: e.Revision, Deleted: e.Deleted}
 		if len(e.Value) >= minCompressBytes {
-			data, err := s.compress(e)
+			data, err := s.compress(e, delta.Position.Era)
 			if err != nil {
 				return nil, connect.NewError(connect.CodeInternal, err)
 			}
@@ -82,17 +82,18 @@
 	return connect.NewResponse(response), nil
 }
 
-func (s *entryServer) compress(e mirror.Entry) ([]byte, error) {
+func (s *entryServer) compress(e mirror.Entry, era uint64) ([]byte, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if known, ok := s.compressed[e.Key]; ok && known.revision == e.Revision {
+	position := mirror.Position{Era: era, Revision: e.Revision}
+	if known, ok := s.compressed[e.Key]; ok && known.position == position {
 		return known.data, nil
 	}
 	data, err := mirror.Compress(e.Value)
 	if err != nil {
 		return nil, err
 	}
-	s.compressed[e.Key] = compressedValue{e.Revision, data}
+	s.compressed[e.Key] = compressedValue{position, data}
 	return data, nil
 }
 
@@ -106,20 +107,20 @@
 }
 
 // Fetch reads the entries that changed after a position from a peer.
-func (n *Node) Fetch(ctx context.Context, peer netip.Addr, position uint64) (Fetched, error) {
+func (n *Node) Fetch(ctx context.Context, peer netip.Addr, position mirror.Position) (Fetched, error) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	requestedAt := boottime.Now()
 	client := loadv1connect.NewMirrorServiceClient(n.http, "http://"+netip.AddrPortFrom(peer, n.options.Local.Port()).String(),
 		connect.WithReadMaxBytes(maxFetchBytes), connect.WithAcceptCompression("gzip", nil, nil))
-	response, err := client.Fetch(ctx, connect.NewRequest(&loadv1.FetchRequest{Position: position}))
+	response, err := client.Fetch(ctx, connect.NewRequest(&loadv1.FetchRequest{Position: position.Revision, Era: position.Era}))
 	if err != nil {
 		n.http.CloseIdleConnections() // they may share the broken path
 		return Fetched{}, fmt.Errorf("fetch entries from peer %s: %w", peer, err)
 	}
 	m := response.Msg
 	f := Fetched{
-		Delta:     mirror.Delta{Position: m.GetPosition(), Complete: m.GetComplete(), Keys: m.GetKeys()},
+		Delta:     mirror.Delta{Position: mirror.Position{Era: m.GetEra(), Revision: m.GetPosition()}, Complete: m.GetComplete(), Keys: m.GetKeys()},
 		AsOf:      requestedAt - time.Duration(min(m.GetAgeMs(), maxAgeMillis))*time.Millisecond,
 		Recovered: time.Duration(min(m.GetRecoveredMs(), maxAgeMillis)) * time.Millisecond,
 	}
--- a/peering/fetch_test.go
+++ b/peering/fetch_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/citronscale/citronscale/internal/boottime"
+	"github.com/citronscale/citronscale/mirror"
 )
 
 // endlessPeer answers a request with a head and then the same bytes until the connection is closed.
@@ -64,7 +65,7 @@
 			peer, open := endlessPeer(t, c.head, c.repeat)
 			n := &Node{options: Options{Local: netip.AddrPortFrom(netip.Addr{}, peer.Port())}, http: fetchClient()}
 			started := boottime.Now()
-			_, err := n.Fetch(t.Context(), peer.Addr(), 0)
+			_, err := n.Fetch(t.Context(), peer.Addr(), mirror.Position{})
 			assert.Assert(t, err != nil)
 			assert.Assert(t, boottime.Now()-started < 20*fetchTimeout)
 			poll.WaitOn(t, func(poll.LogT) poll.Result {
--- a/peering/model_test.go
+++ b/peering/model_test.go
@@ -41,6 +41,9 @@
 	wait    time.Duration                  // between two reads of a host
 
 	changes []time.Duration // time of each change of the source; its revision is the index plus one
+	values  []int           // of the changes
+	writes  int             // changes of all eras
+	era     uint64
 	sent    int
 	bytes   int
 }
@@ -60,7 +63,7 @@
 	mirror      *mirror.State
 	duty        mirror.Duty
 	confirmed   time.Duration
-	position    uint64
+	position    mirror.Position
 	evidence    *evidenceStore
 	limits      *throttle.Book
 	paces       *pace.Book
@@ -99,7 +102,7 @@
 	}, Parts{
 		Ledger: h.ledger, Limits: h.limits, Paces: h.paces, Standing: h.standing, Upstreams: fleet.NewSet(), Key: func(string) uint64 { return 1 }, Log: &event.Logger{},
 		Rng: rand.New(rand.NewPCG(m.rng.Uint64(), 1)), SourceRecovered: func() {}, Vouched: h.vouched, Mirror: h.mirror, Evidence: h.evidence,
-		Age: func() time.Duration { return m.now - h.confirmed },
+		Age: func() time.Duration { return m.now - h.confirmed }, ConfigVersion: func() uint64 { return 0 },
 	}, uint64(m.now+time.Second)<<8)
 	h.node.now = func() time.Duration { return m.now }
 	h.node.write = func(data []byte, to netip.Addr) { m.send(addr, to, data) }
@@ -121,6 +124,24 @@
 
 func (m *fleetModel) change() {
 	m.changes = append(m.changes, m.now)
+	m.writes++
+	m.values = append(m.values, m.writes)
+}
+
+// restore replaces the source by a copy that lacks its last changes.
+func (m *fleetModel) restore(lost int) {
+	m.era++
+	m.changes = m.changes[:max(len(m.changes)-lost, 0)]
+	m.values = m.values[:len(m.changes)]
+}
+
+// entry returns the change of the source with a revision.
+func (m *fleetModel) entry(revision uint64) mirror.Entry {
+	return mirror.Entry{Key: fmt.Sprint("key-", revision%5), Revision: revision, Value: fmt.Append(nil, m.values[revision-1])}
+}
+
+func (m *fleetModel) position() mirror.Position {
+	return mirror.Position{Era: m.era, Revision: uint64(len(m.changes))}
 }
 
 // step runs one step of all hosts.
@@ -178,23 +199,36 @@
 	}
 	h.reads++
 	var entries []mirror.Entry
-	for revision := h.position + 1; revision <= uint64(len(h.m.changes)); revision++ {
-		entries = append(entries, mirror.Entry{Key: fmt.Sprint("key-", revision%5), Revision: revision})
+	first := h.position.Revision + 1
+	if h.position.Era < h.m.era {
+		first = 1
+	}
+	for revision := first; revision <= uint64(len(h.m.changes)); revision++ {
+		entries = append(entries, h.m.entry(revision))
 	}
-	h.apply(mirror.Delta{Position: uint64(len(h.m.changes)), Entries: entries}, h.m.now-modelGap)
+	h.apply(mirror.Delta{Position: h.m.position(), Complete: first == 1, Entries: entries}, h.m.now-modelGap)
 	if len(entries) > 0 {
 		h.node.EntriesChanged()
 	}
 }
 
 func (h *modelHost) apply(d mirror.Delta, asOf time.Duration) {
+	if d.Complete && d.Position.Era > h.position.Era {
+		h.mirror.Replace(d.Position, d.Entries)
+	}
 	h.mirror.Advance(d.Position, d.Entries)
-	h.position = max(h.position, d.Position)
+	if d.Position.Compare(h.position) > 0 {
+		h.position = d.Position
+	}
 	h.confirmed = max(h.confirmed, asOf)
 }
 
 func (h *modelHost) vouched(v Vouch) {
-	if v.Changed > h.position {
+	reaction := mirror.React(h.position, v.Position, v.Changed)
+	if reaction == mirror.Ignore {
+		return
+	}
+	if reaction == mirror.Fetch {
 		peer := h.m.hosts[v.From]
 		if peer.asleepUntil > h.m.now || h.m.rng.Float64() < h.m.loss {
 			return // the fetch times out
@@ -218,7 +252,7 @@
 			known++
 		}
 		_, changed := h.mirror.Position()
-		assert.Assert(t, int(h.position) >= known && int(changed) >= known,
+		assert.Assert(t, int(h.position.Revision) >= known && int(changed) >= known,
 			"seed %d, %v: host %v confirms %v, when there were %d changes, and has applied %d", seed, m.now, h.addr, h.confirmed, known, changed)
 	}
 }
@@ -255,6 +289,59 @@
 	}
 }
 
+// Guards against hosts that go back to an earlier era, or stay with what the source has lost,
+// when it comes back from older copies while hosts are suspended, cut off and restarted and
+// messages are lost and late.
+func TestHostsAgreeAfterTheSourceCameBack(t *testing.T) {
+	for history := range uint64(30) {
+		seed := uint64(testseed.Seeded(history).Pick("seed", 1<<30))
+		m := newFleetModel(seed, 12)
+		known := map[*modelHost]mirror.Position{}
+		for step := range 1500 {
+			m.step()
+			h := m.list[m.rng.IntN(len(m.list))]
+			switch m.rng.IntN(300) {
+			case 0, 1, 2, 3, 4, 5, 6, 7, 8, 9:
+				m.change()
+			case 10, 11:
+				m.restore(m.rng.IntN(12))
+			case 12:
+				h.asleepUntil = m.now + time.Duration(m.rng.IntN(4000))*time.Millisecond
+			case 13:
+				h.cutOff = !h.cutOff
+			case 14:
+				m.loss = 0.3 * m.rng.Float64()
+			case 15:
+				m.maxLate = time.Duration(m.rng.IntN(2000)) * time.Millisecond
+			case 16:
+				m.start(h.addr)
+			}
+			for _, h := range m.list {
+				assert.Assert(t, h.position.Compare(known[h]) >= 0, "seed %d, step %d: host %v went from %v to %v", seed, step, h.addr, known[h], h.position)
+				known[h] = h.position
+			}
+		}
+		m.loss, m.maxLate = 0, 0
+		for _, h := range m.list {
+			h.cutOff, h.asleepUntil = false, 0
+		}
+		m.change()
+		m.run(6 * time.Second)
+		want := map[string]string{}
+		for revision := uint64(1); revision <= uint64(len(m.changes)); revision++ {
+			e := m.entry(revision)
+			want[e.Key] = string(e.Value)
+		}
+		for _, h := range m.list {
+			got := map[string]string{}
+			for _, e := range h.mirror.Since(mirror.Position{}).Entries {
+				got[e.Key] = string(e.Value)
+			}
+			assert.DeepEqual(t, got, want)
+		}
+	}
+}
+
 // In a calm fleet few hosts read the source, and all keep confirmations that are far
 // from their end.
 func TestFewHostsReadTheSource(t *testing.T) {
@@ -335,7 +422,7 @@
 					m.change()
 					m.run(limit * 4 / 5)
 					for _, h := range m.list {
-						assert.Assert(t, slices.Contains(lost, h) || h.position >= 1, "seed %d: host %v has not applied the change after %v", seed, h.addr, limit*4/5)
+						assert.Assert(t, slices.Contains(lost, h) || h.position.Revision >= 1, "seed %d: host %v has not applied the change after %v", seed, h.addr, limit*4/5)
 					}
 				}
 			})
--- a/peering/node.go
+++ b/peering/node.go
@@ -70,6 +70,8 @@
 	// Age returns the time since this host knew that its published entries were the
 	// newest.
 	Age func() time.Duration
+	// ConfigVersion returns the version of the configuration that is in force, or 0.
+	ConfigVersion func() uint64
 	// SourceOutageAge returns the time since the source answered again after an
 	// outage.
 	SourceOutageAge func() time.Duration
--- a/peering/peering_test.go
+++ b/peering/peering_test.go
@@ -116,7 +116,7 @@
 			Ledger: ledger, Limits: throttle.NewBook(), Standing: standing.NewBook(standing.Options{}), Upstreams: fleet.NewSet(), Key: func(string) uint64 { return 1 }, Log: &event.Logger{}, Rng: rand.New(rand.NewPCG(1, uint64(i))),
 			SourceRecovered: func() { recoveries[i].Add(1) }, Vouched: func(Vouch) {}, Mirror: mirror.NewState(),
 			Evidence: &evidenceStore{registry: strike.NewPartRegistry(strike.DefaultPartOptions(rand.New(rand.NewPCG(1, 1))))},
-			Age:      func() time.Duration { return 0 }, SourceOutageAge: func() time.Duration { return time.Hour },
+			Age:      func() time.Duration { return 0 }, ConfigVersion: func() uint64 { return 0 }, SourceOutageAge: func() time.Duration { return time.Hour },
 		})
 		assert.NilError(t, err)
 		port = node.options.Local.Port()
--- a/peering/query.go
+++ b/peering/query.go
@@ -6,6 +6,7 @@
 	"time"
 
 	loadv1 "github.com/citronscale/citronscale/api/load/v1"
+	"github.com/citronscale/citronscale/mirror"
 )
 
 const (
@@ -24,12 +25,13 @@
 // Vouch is the confirmation by a peer that its entries were the newest.
 type Vouch struct {
 	From     netip.Addr
-	PeerRank int           // of the peer among the hosts of the group
-	Rank     int           // of this host
-	Changed  uint64        // revision of the last change that the peer has applied
-	Position uint64        // up to which the peer has applied all changes
-	Asked    bool          // the peer answered a query; AsOf is valid
-	AsOf     time.Duration // on the clock of this host
+	PeerRank int             // of the peer among the hosts of the group
+	Rank     int             // of this host
+	Changed  uint64          // revision of the last change that the peer has applied, in the era of Position
+	Position mirror.Position // up to which the peer has applied all changes
+	Config   uint64          // version of the configuration that is in force at the peer
+	Asked    bool            // the peer answered a query; AsOf is valid
+	AsOf     time.Duration   // on the clock of this host
 }
 
 // queries holds the times of the queries that may still be answered. It is not safe
@@ -108,7 +110,8 @@
 	age := n.parts.Age()
 	position, changed := n.parts.Mirror.Position()
 	return &loadv1.Datagram{Content: &loadv1.Datagram_Confirmation{Confirmation: &loadv1.Confirmation{
-		Number: number, AgeMs: ageMillis(age), Changed: changed, Position: position,
+		Number: number, AgeMs: ageMillis(age), Changed: changed, Position: position.Revision, Era: position.Era,
+		ConfigVersion: n.parts.ConfigVersion(),
 	}}}
 }
 
@@ -121,7 +124,10 @@
 	n.mu.Lock()
 	n.members.heard(from, now)
 	ranked := n.members.ranked(n.members.groups(now).own, now)
-	v := Vouch{From: from, PeerRank: slices.Index(ranked, from), Rank: slices.Index(ranked, n.members.self), Changed: c.GetChanged(), Position: c.GetPosition()}
+	v := Vouch{
+		From: from, PeerRank: slices.Index(ranked, from), Rank: slices.Index(ranked, n.members.self), Changed: c.GetChanged(),
+		Position: mirror.Position{Era: c.GetEra(), Revision: c.GetPosition()}, Config: c.GetConfigVersion(),
+	}
 	v.AsOf, v.Asked = n.queries.asOf(c)
 	n.mu.Unlock()
 	if v.PeerRank >= 0 {
