soak: the store comes back from older copies, besides all other faults

TestCopySoak plays the faults of TestSoak and copies of the store from 0.3 to 4 s ago; operator and upstreams write again what is lost, key by key, before or after the first answer. Its checks are those of TestSoak: keys, versions, upstreams that left, evacuations. The other soaks draw as before.

--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -49,6 +49,36 @@
 	{"end an upstream in the middle of its streams", 12, false, (*world).dieInStreams},
 }
 
+// copyActs let the store come back from an older copy.
+var copyActs = []act{
+	{"store comes back from a copy", 8, false, (*world).storeComesBack},
+}
+
+// storeComesBack lets the store go away and come back from a copy some seconds old. Operator and
+// upstreams write again what it lacks, each after a while; entries of upstreams that have gone
+// lapse later.
+func (w *world) storeComesBack(rng *rand.Rand) {
+	if !w.copying.TryLock() {
+		return // another copy is being completed
+	}
+	defer w.copying.Unlock()
+	defer w.disturb("")()
+	older := w.store.Copy()
+	time.Sleep(between(rng, 300*time.Millisecond, 4*time.Second))
+	w.store.SetStatus(http.StatusServiceUnavailable)
+	time.Sleep(between(rng, 100*time.Millisecond, 1500*time.Millisecond))
+	lost := w.store.Restore(older)
+	late := rng.IntN(2) == 0
+	if !late {
+		w.store.SetStatus(0)
+	}
+	for _, key := range w.store.Differences("", lost) {
+		time.Sleep(between(rng, 0, 300*time.Millisecond))
+		w.store.WriteAgain(key, lost)
+	}
+	w.store.SetStatus(0)
+}
+
 // spoilStreams lets an upstream break its streams off, and resume others wrongly.
 func (w *world) spoilStreams(rng *rand.Rand) {
 	u := w.claimUpstream(rng)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -110,6 +110,17 @@
 	}
 }
 
+// TestCopySoak plays one run for each seed asked for in which the store comes back from older
+// copies, besides all other faults.
+func TestCopySoak(t *testing.T) {
+	for _, seed := range seedsToPlay(t, nil) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			soak(t, seed, plan{acts: slices.Concat(acts, copyActs)})
+		})
+	}
+}
+
 // TestStreamSoak plays one run with streams only for each seed asked for: upstreams break
 // streams off and resume them wrongly, besides all other faults.
 func TestStreamSoak(t *testing.T) {
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -63,6 +63,8 @@
 	book  *book
 	start time.Time
 
+	copying sync.Mutex // held while the store comes back from a copy
+
 	mu          sync.Mutex
 	upstreams   []*upstream
 	past        []*platformtest.Replica // replaced, for their records
