platform: a configuration that can't be read confirms nothing

What callers saw: a configuration took a key away and named a mean token count with a fraction.

A route, service, engine or limit that can't be read stays as it was, and the rest is in force (event 311). If the version or a team can't be read, the configuration is rejected as before, and from then on nothing is confirmed, to the host or to its peers, until a readable one comes: with fail_closed requests with a key are refused once the last confirmation is too old. Metrics and the dump tell which of both holds.

--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -44,7 +44,8 @@
 // Events of configuration: 3xx.
 var (
 	ConfigAccepted   = Event{300, "configuration accepted", log.InfoLevel, "A newer revision is in force.", ""}
-	ConfigRejected   = Event{301, "configuration rejected", log.ErrorLevel, "A published document is invalid; the last good one stays.", "Run citronctl config check on the document."}
+	ConfigRejected   = Event{301, "configuration rejected", log.ErrorLevel, "A published document is invalid; the last good one stays. On citronrelay it is not confirmed any more.", "Run citronctl config check on the document, or publish a readable one."}
+	ConfigInPart     = Event{311, "configuration accepted in part", log.ErrorLevel, "A route, service or limit of a newer revision can't be read; what was in force for it stays, and the rest is in force.", "Publish the parts that the line names anew."}
 	ConfigOlder      = Event{302, "configuration older", log.WarnLevel, "The service offers an older revision than the one in force.", "Publish the wanted document under a higher revision."}
 	ConfigSourceDown = Event{303, "configuration source down", log.WarnLevel, "The configuration service can't be read.", "Hosts go on with the revision in force; check the service."}
 	ConfigStale      = Event{305, "configuration unconfirmed", log.WarnLevel, "The configuration was not confirmed for too long; requests that need a key are refused.", "Check that the host reaches the platform."}
@@ -97,7 +98,7 @@
 	RequestAdmitted, RequestFinished, RequestRefused, RequestFailed,
 	AttemptStarted, AttemptFailed, AttemptRetried, RequestRelayed, StreamResumed, UnframedEnd, LinesDropped, RequestWaits, TeamOverShare, RequestHedged,
 	ConfigAccepted, ConfigRejected, ConfigOlder, ConfigSourceDown, ConfigSourceBack,
-	ConfigStale, ConfigFresh, EntryUnreadable, HistoryLost, EraChanged, FormerEraIgnored,
+	ConfigStale, ConfigFresh, EntryUnreadable, HistoryLost, EraChanged, FormerEraIgnored, ConfigInPart,
 	PeerJoined, PeerSuspect, PeerLost, PeerLeaving, AnnouncementUnreadable, PeerFetchFailed,
 	UpstreamUp, UpstreamDown, UpstreamLeaving, UpstreamReclaimed, UpstreamOrdered,
 	UpstreamOrderFailed, ContentStruck, ContentQuarantined, QuarantineLifted,
--- a/internal/relayd/daemon.go
+++ b/internal/relayd/daemon.go
@@ -153,9 +153,11 @@
 // gauges returns the values that are read at each scrape of the metrics.
 func (d *Daemon) gauges() metrics.RelayGauges {
 	eras := d.feed.Eras()
+	read, whole := d.feed.ConfigReading()
 	return metrics.RelayGauges{
 		EvacuatedDomains: len(d.upstreams.Evacuated()), ColdUpstreams: d.upstreams.Cold(boottime.Now()),
 		SourceEra: eras.Era, SourceRestores: eras.Changes, FormerEraAnswers: eras.Ignored,
+		ConfigRejected: !read, ConfigInPart: read && !whole,
 	}
 }
 
--- a/internal/relayd/listeners.go
+++ b/internal/relayd/listeners.go
@@ -104,14 +104,19 @@
 	Version   uint64        `json:"config_version"`
 	ConfigAge time.Duration `json:"config_age_ns"`
 	SourceEra uint64        `json:"source_era"` // 0 if the platform tells none
-	InFlight  int64         `json:"in_flight"`
-	Hosts     int           `json:"hosts"`
-	Group     int           `json:"group"`  // number of the group in the failure domain
-	Groups    int           `json:"groups"` // of the failure domain; 0 if all hosts are one group
-	Rank      int           `json:"rank"`   // in the group; the first ranks read the platform for the others
-	Upstreams []string      `json:"upstreams"`
-	Evacuated []string      `json:"evacuated"` // failure domains
-	Streams   any           `json:"streams"`
+	// ConfigRead tells whether the newest published configuration was read, ConfigWhole whether
+	// all of it was.
+	ConfigRead  bool `json:"config_read"`
+	ConfigWhole bool `json:"config_whole"`
+
+	InFlight  int64    `json:"in_flight"`
+	Hosts     int      `json:"hosts"`
+	Group     int      `json:"group"`  // number of the group in the failure domain
+	Groups    int      `json:"groups"` // of the failure domain; 0 if all hosts are one group
+	Rank      int      `json:"rank"`   // in the group; the first ranks read the platform for the others
+	Upstreams []string `json:"upstreams"`
+	Evacuated []string `json:"evacuated"` // failure domains
+	Streams   any      `json:"streams"`
 
 	Quarantines []relay.QuarantineEntry `json:"quarantines"` // combinations of prompt parts that are refused
 	Limits      []relay.LimitEntry      `json:"limits"`      // upstreams that name the rate of requests that they take, or are cold
@@ -135,6 +140,7 @@
 	}
 	out.Group, out.Groups = d.node.Group()
 	out.Rank = d.node.Rank()
+	out.ConfigRead, out.ConfigWhole = d.feed.ConfigReading()
 	out.Paces = d.relay.Paces(now)
 	if table := d.routes.Table(); table != nil {
 		out.Version = table.Version()
--- a/metrics/levels.go
+++ b/metrics/levels.go
@@ -30,6 +30,8 @@
 	SourceEra        uint64
 	SourceRestores   int64 // times that the source came back from an older copy
 	FormerEraAnswers int64
+	ConfigRejected   bool // the newest published configuration
+	ConfigInPart     bool // the one in force is not all that was published
 }
 
 // ObserveRelayGauges registers read as the source of the gauges of a relay host. The
@@ -47,11 +49,20 @@
 		o.ObserveInt64(g.era, int64(now.SourceEra))
 		o.ObserveInt64(g.restores, now.SourceRestores)
 		o.ObserveInt64(g.formerEra, now.FormerEraAnswers)
+		o.ObserveInt64(g.rejected, oneIf(now.ConfigRejected))
+		o.ObserveInt64(g.inPart, oneIf(now.ConfigInPart))
 		return nil
-	}, g.evacuated, g.cold, g.era, g.restores, g.formerEra)
+	}, g.evacuated, g.cold, g.era, g.restores, g.formerEra, g.rejected, g.inPart)
 	return err
 }
 
+func oneIf(holds bool) int64 {
+	if holds {
+		return 1
+	}
+	return 0
+}
+
 // PeerCount is the number of peers in one state.
 type PeerCount struct {
 	State peerv1.HostState
--- a/metrics/relay.go
+++ b/metrics/relay.go
@@ -27,6 +27,8 @@
 	era        metric.Int64ObservableGauge
 	restores   metric.Int64ObservableGauge
 	formerEra  metric.Int64ObservableGauge
+	rejected   metric.Int64ObservableGauge
+	inPart     metric.Int64ObservableGauge
 	slow       metric.Int64Gauge
 	cold       metric.Int64ObservableGauge
 }
@@ -51,6 +53,8 @@
 		era:        b.gauge("relay_source_era", "", "Era of the source of the configuration; 0 if it tells none."),
 		restores:   b.gauge("relay_source_restores", "", "Times that the source came back from an older copy since the host started."),
 		formerEra:  b.gauge("relay_former_era_answers", "", "Answers of the source and of peers that were from before the source came back, since the host started."),
+		rejected:   b.gauge("relay_config_rejected", "", "1 if the newest published configuration can't be read; the one in force is then not confirmed."),
+		inPart:     b.gauge("relay_config_in_part", "", "1 if a part of the configuration in force could not be read and is that of an earlier one."),
 		evacuated:  b.gauge("relay_evacuated_domains", "", "Failure domains that are evacuated."),
 		cold:       b.gauge("relay_cold_upstreams", "", "Upstreams to which requests are bounded because they are cold."),
 		quarantine: b.level("relay_quarantines", "Combinations of prompt parts that are refused at present."),
--- a/route/config.go
+++ b/route/config.go
@@ -41,7 +41,10 @@
 	// RequireKeys makes routes that are not public require a key although Teams is empty. It
 	// is implied if there are teams.
 	RequireKeys bool
-	Limits      Limits
+	// Incomplete tells that a published route could not be read, so that a request without a
+	// route may still have one.
+	Incomplete bool
+	Limits     Limits
 }
 
 // Route sends the requests of one host and path prefix to services.
@@ -100,14 +103,15 @@
 // Validate returns an error that names the first invalid field.
 func (c *Config) Validate() error {
 	for i := range c.Routes {
-		if err := c.Routes[i].validate(); err != nil {
+		if err := c.Routes[i].Validate(); err != nil {
 			return fmt.Errorf("version %d, route %q: %w", c.Version, c.Routes[i].Name, err)
 		}
 	}
 	return nil
 }
 
-func (r *Route) validate() error {
+// Validate returns an error that names the first invalid field.
+func (r *Route) Validate() error {
 	switch {
 	case !strings.HasPrefix(r.PathPrefix, "/") || !strings.HasSuffix(r.PathPrefix, "/"):
 		return fmt.Errorf("path prefix %q does not begin and end with a slash", r.PathPrefix)
--- a/route/table.go
+++ b/route/table.go
@@ -80,6 +80,11 @@
 	return t.config.RequireKeys || len(t.config.Teams) > 0
 }
 
+// Complete reports whether all published routes could be read.
+func (t *Table) Complete() bool {
+	return !t.config.Incomplete
+}
+
 // Team returns the team to which a key belongs, or nil.
 func (t *Table) Team(key string) *Team {
 	return t.keys[key]
