relay: all that tells the start of a process decides whether an answer is whole

Cause: the process at the end was compared with the one asked at the head, and behind a cut both questions reach the new process. The start in the entry at the send was used only where nothing else was. Calls were not asked at the head, and plain services tell their start only in the body of a health answer, which was not read.

Change: attempt.starts compares the starts told by the entry at the send, by the process at the head and at the end, and by the entry now, for calls and streams alike; two that differ make the answer one that broke off.

Ruled out: asking earlier, since the head itself may come late.

--- a/relay/identity.go
+++ b/relay/identity.go
@@ -18,11 +18,6 @@
 	Cold time.Duration
 }
 
-// sameProcess reports whether both can be of one process.
-func (i Identity) sameProcess(other Identity) bool {
-	return i.Started == 0 || other.Started == 0 || i.Started == other.Started
-}
-
 // Identifier asks processes who they are.
 type Identifier interface {
 	// Identify asks the process at the address of an upstream. It fails if no process with
--- a/relay/unframed.go
+++ b/relay/unframed.go
@@ -64,16 +64,18 @@
 		return nil
 	}
 	a.timer.Stop() // the upstream has nothing more to send
-	began, startErr := a.identityAtStart()
-	identity, err := a.identify(began.Started != 0)
+	head, startErr := a.identityAtHead()
+	startKnown := head.Started != 0 || a.upstream.Started != 0
+	identity, err := a.identify(startKnown)
 	if err == nil && confirm > 0 && ctxtime.Sleep(a.ctx, min(confirm, a.x.timeLeft()-minAttemptTime)) {
-		identity, err = a.identify(began.Started != 0)
+		identity, err = a.identify(startKnown)
 	}
+	first, other := a.starts(head, identity)
 	switch {
 	case err != nil:
 		err = fmt.Errorf("%w: %w", errProcessGone, err)
-	case !identity.sameProcess(began):
-		err = fmt.Errorf("%w: the one at its address started at %d instead of %d", errProcessGone, identity.Started, began.Started)
+	case first != other:
+		err = fmt.Errorf("%w: another one started at %d instead of %d", errProcessGone, other, first)
 	case !identity.Known && !confirmsEnd && a.x.route.Kind == route.Stream && a.x.route.Repeatable():
 		a.x.endUnconfirmed = true
 		err = errEndUnconfirmed
@@ -104,18 +106,36 @@
 	}()
 }
 
-// identityAtStart returns what is known of the process that began the answer, and why the
-// process itself did not tell it.
-func (a *attempt) identityAtStart() (Identity, error) {
-	fromEntry := Identity{Started: a.upstream.Started}
+// identityAtHead returns what the process of an unframed stream said of itself when the head of
+// the answer had come, and why it said nothing.
+func (a *attempt) identityAtHead() (Identity, error) {
 	if a.asked == nil {
-		return fromEntry, nil
+		return Identity{}, nil
 	}
 	answered := <-a.asked
-	if answered.err != nil || answered.Started == 0 {
-		return fromEntry, answered.err
+	return answered.Identity, answered.err
+}
+
+// starts returns two different starts of the process that were told between the send of the
+// request and the end of the answer, or the same one twice if there is only one. Each comes from
+// the entry at the send, from the process at the head and at the end of the answer, or from the
+// entry now: behind a cut, even the head may come after the process has started again.
+func (a *attempt) starts(head, end Identity) (first, other int64) {
+	first = a.upstream.Started
+	told := []int64{head.Started, end.Started}
+	if now := a.s.upstreams.Upstream(a.upstream.ID); now != nil {
+		told = append(told, now.Started)
+	}
+	for _, started := range told {
+		switch {
+		case started == 0 || started == first:
+		case first == 0:
+			first = started
+		default:
+			return first, started
+		}
 	}
-	return answered.Identity, nil
+	return first, first
 }
 
 func (a *attempt) identify(startKnown bool) (Identity, error) {
