--- a/peering/query.go
+++ b/peering/query.go
@@ -108,10 +108,11 @@
 func (n *Node) confirmation(number uint64) *loadv1.Datagram {
 	// The age is read first: the entries may only be newer than it tells.
 	age := n.parts.Age()
+	version := n.parts.ConfigVersion() // a version without its position would make peers fetch
 	position, changed := n.parts.Mirror.Position()
 	return &loadv1.Datagram{Content: &loadv1.Datagram_Confirmation{Confirmation: &loadv1.Confirmation{
 		Number: number, AgeMs: ageMillis(age), Changed: changed, Position: position.Revision, Era: position.Era,
-		ConfigVersion: n.parts.ConfigVersion(),
+		ConfigVersion: version,
 	}}}
 }
 
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -157,7 +157,7 @@
 	if r := table.Match(host, path); r != nil {
 		return table, r, nil
 	}
-	if !table.Complete() {
+	if !table.RoutesComplete() {
 		return table, nil, code.New(code.ConfigUnconfirmed, "no route matches in configuration version %d, of which a route can't be read", table.Version())
 	}
 	if !s.Fresh() {
--- a/route/table.go
+++ b/route/table.go
@@ -80,8 +80,8 @@
 	return t.config.RequireKeys || len(t.config.Teams) > 0
 }
 
-// Complete reports whether all published routes could be read.
-func (t *Table) Complete() bool {
+// RoutesComplete reports whether all published routes could be read.
+func (t *Table) RoutesComplete() bool {
 	return !t.config.Incomplete
 }
 
