review: case 11 restarts its host later, the copy is younger

Change: the host starts 0.6 s after the return, as after a restart of a second; the copy is 5.2 s old instead of 6.

--- a/review/standin3/rewound.go
+++ b/review/standin3/rewound.go
@@ -49,19 +49,19 @@
 		}
 	}
 	time.Sleep(3 * time.Second)
-	older := w.store.copyNow()
+	older, copied := w.store.copyNow(), time.Now()
 	w.note("store: a copy of it is made at revision %d", older.revision)
-	time.Sleep(500 * time.Millisecond)
+	time.Sleep(100 * time.Millisecond)
 	if err := w.store.put(names["config_key"], configuration(17, kept)); err != nil {
 		return false, err
 	}
 	acknowledged := time.Now()
 	w.note("store: acknowledges version 17, which takes key %s away", withdrawn)
-	time.Sleep(revokeLimit - 500*time.Millisecond)
+	time.Sleep(revokeLimit - time.Second)
 	for _, r := range w.relays {
 		w.note("%s: key %s: status %d", r.name, withdrawn, r.send(with(withdrawn)).status)
 	}
-	time.Sleep(time.Until(acknowledged.Add(revokeLimit + 200*time.Millisecond)))
+	time.Sleep(time.Until(acknowledged.Add(revokeLimit - 300*time.Millisecond)))
 
 	restarted := w.relays[2]
 	if w.trouble {
@@ -71,8 +71,8 @@
 		w.note("%s: killed", restarted.name)
 		time.Sleep(400 * time.Millisecond)
 		w.store.comeBack(older)
-		w.note("store: back from the copy, which is %v old, with version 11", time.Since(acknowledged).Round(time.Millisecond)+500*time.Millisecond)
-		time.Sleep(100 * time.Millisecond)
+		w.note("store: back from the copy, which is %v old, with version 11", time.Since(copied).Round(time.Millisecond))
+		time.Sleep(600 * time.Millisecond)
 		if err := restarted.start(); err != nil {
 			return false, err
 		}
