--- a/review/standin3/deadly.go
+++ b/review/standin3/deadly.go
@@ -227,3 +227,42 @@
 	late, err := w.afterCrash(replicas, 3)
 	return late > mostRetries, err
 }
+
+// answerBegun has one request that crashes each replica that runs it, after the head of the answer
+// is out, and comes again and again.
+func answerBegun(w *world) (bool, error) {
+	const thing, length = "fi50", 36 * time.Second
+	stop := make(chan struct{})
+	defer close(stop)
+	options := []string{"--head-first"}
+	if w.trouble {
+		options = append(options, "--deadly", "/"+thing+"/")
+	}
+	replicas, err := w.startDeployment(stop, appName, 3, options...)
+	if err != nil {
+		return false, err
+	}
+	until := time.Now().Add(length)
+	reserve := func(thing, body string) call {
+		return call{method: "POST", path: "/puxa403/" + thing + "/2f", key: soundKey, body: body, deadline: 1500 * time.Millisecond}
+	}
+	var sound, bad counts
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		w.play(until, 100*time.Millisecond, &sound, func(r *relay, n int) reply {
+			return r.send(reserve(fmt.Sprintf("fi%d", 100+n%60), "pallet "+newID()))
+		})
+	})
+	wg.Go(func() {
+		time.Sleep(3 * time.Second)
+		w.play(until, 3*time.Second, &bad, func(r *relay, _ int) reply { return r.send(reserve(thing, "pallet 7")) })
+	})
+	wg.Wait()
+	w.note("sound requests: %d whole, others %v", sound.whole, sound.other)
+	w.note("deadly requests: %d whole, others %v", bad.whole, bad.other)
+	for _, r := range w.relays {
+		r.noteLog(`"content quarantined"`, `"quarantine lifted"`)
+	}
+	late, err := w.afterCrash(replicas, 3)
+	return late > mostRetries, err
+}
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -20,6 +20,7 @@
 	"rewound-restart": rewoundRestart,
 	"first-event":     firstEvent,
 	"same-moment":     sameMoment,
+	"answer-begun":    answerBegun,
 }
 
 func main() {
--- a/review/standin3/replica.go
+++ b/review/standin3/replica.go
@@ -20,6 +20,7 @@
 // Work of a replica on one request, as on the sheet of a small deployment.
 const (
 	callWork    = 15 * time.Millisecond
+	restWork    = 5 * time.Millisecond // between the halves of an answer
 	prefillWork = 40 * time.Millisecond
 	eventGap    = 20 * time.Millisecond
 	streamSize  = 8 // events of a stream
@@ -33,6 +34,9 @@
 	engine bool
 	// deadly marks the requests that crash the process: a part of the prompt, or the path.
 	deadly string
+	// headFirst tells that the head and a half of the answer to a deadly call leave before the
+	// crash.
+	headFirst bool
 	// eventsFirst is how many events of a deadly stream leave before the crash.
 	eventsFirst int
 }
@@ -45,6 +49,7 @@
 	flags.Int64Var(&s.born, "born", 0, "start in Unix milliseconds")
 	flags.BoolVar(&s.engine, "engine", false, "serve streams and reports")
 	flags.StringVar(&s.deadly, "deadly", "", "text in the prompt parts or the path of requests that crash the process")
+	flags.BoolVar(&s.headFirst, "head-first", false, "the head and a half of the answer to a call leave before the crash")
 	flags.IntVar(&s.eventsFirst, "events-first", 0, "events that leave before the crash")
 	if err := flags.Parse(args); err != nil {
 		return err
@@ -116,11 +121,16 @@
 	deadly := s.deadly != "" && strings.Contains(request.RequestURI, s.deadly)
 	say("runs %s deadly=%v %s", id, deadly, request.RequestURI)
 	time.Sleep(callWork)
+	body := strings.Repeat("answer to "+id+". ", answerBytes/28+1)[:answerBytes]
 	if deadly {
+		if s.headFirst {
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\n%s: seal-of-%s\r\nContent-Length: %d\r\n\r\n%s",
+				names["request_id"], id, names["replica_id"], s.id, names["seal"], s.id, len(body), body[:len(body)/2])
+			time.Sleep(restWork)
+		}
 		say("crashes %s", id)
 		os.Exit(1)
 	}
-	body := strings.Repeat("answer to "+id+". ", answerBytes/28+1)[:answerBytes]
 	return s.write(conn, 200, id, names["seal"]+": seal-of-"+s.id+"\r\n", body)
 }
 
