review: case 15, a refusal waits for the rest of a slow body

Cause: a refusal at the head of a request is written by net/http only after the rest of the body, for which no read deadline is set.

--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -21,6 +21,7 @@
 	"first-event":     firstEvent,
 	"same-moment":     sameMoment,
 	"answer-begun":    answerBegun,
+	"slow-upload":     slowUpload,
 }
 
 func main() {
