--- a/review/standin3/deadly.go
+++ b/review/standin3/deadly.go
@@ -153,7 +153,8 @@
 // firstEvent has requests with a part that crashes each replica that begins to write an answer
 // on it; the first event leaves before.
 func firstEvent(w *world) (bool, error) {
-	const deadlyPart, length = "dead1e55", 45 * time.Second
+	// The deadly requests come for the 22 s of the page's example, after 3 s of sound ones.
+	const deadlyPart, length = "dead1e55", 25 * time.Second
 	stop := make(chan struct{})
 	defer close(stop)
 	options := []string{"--engine", "--events-first", "1"}
--- a/review/standin3/names.go
+++ b/review/standin3/names.go
@@ -23,6 +23,7 @@
 	modelName = "huvo11a"
 
 	notePath    = "/lohu930/2f" // stock-note, a stream that may be resumed
+	ledgerPath  = "/pufi791/2f" // returns-ledger, a stream that may be resumed
 	reservePath = "/puxa403/2f" // pallet-reserve, non_idempotent
 	checkPath   = "/cufi504/2f" // stock-check, idempotent
 )
--- a/review/standin3/upload.go
+++ b/review/standin3/upload.go
@@ -13,10 +13,10 @@
 )
 
 const (
-	// reserveTimeout is what the configuration says of the route, and answerSlack what the rule
+	// ledgerTimeout is what the configuration says of the route, and answerSlack what the rule
 	// allows beyond it.
-	reserveTimeout = 1500 * time.Millisecond
-	answerSlack    = 500 * time.Millisecond
+	ledgerTimeout = 3 * time.Second
+	answerSlack   = 500 * time.Millisecond
 	// fewestLate is the number of requests without an answer from which the rule is broken, if
 	// they are over a quarter.
 	fewestLate = 8
@@ -27,7 +27,7 @@
 func slowUpload(w *world) (bool, error) {
 	const kept, withdrawn = soundKey, "anfqasnmgkcuyj8pjbvk"
 	for i := range 3 {
-		if _, err := w.startReplica(appName, i); err != nil {
+		if _, err := w.startReplica(modelName, i, "--engine"); err != nil {
 			return false, err
 		}
 	}
@@ -45,7 +45,7 @@
 	}
 	time.Sleep(revokeLimit + time.Second)
 	for _, r := range w.relays {
-		got := r.send(call{method: "POST", path: reservePath, key: withdrawn, body: "pallet 7", deadline: reserveTimeout})
+		got := r.send(call{method: "POST", path: ledgerPath, key: withdrawn, body: "ledger 7", deadline: 15 * time.Second, parts: ledgerParts()})
 		w.note("%s: a quick request with key %s: status %d", r.name, withdrawn, got.status)
 	}
 
@@ -60,7 +60,7 @@
 				mu.Lock()
 				defer mu.Unlock()
 				w.note("%s: a slow request with key %s: status %d after %v, error %v", r.name, withdrawn, status, took.Round(time.Millisecond), err)
-				if status == 0 || took > reserveTimeout+answerSlack {
+				if status == 0 || took > ledgerTimeout+answerSlack {
 					late++
 				}
 			})
@@ -68,14 +68,14 @@
 	}
 	wg.Wait()
 	total := each * len(w.relays)
-	w.note("requests without an answer %v after the start: %d of %d", reserveTimeout+answerSlack, late, total)
+	w.note("requests without an answer %v after the start: %d of %d", ledgerTimeout+answerSlack, late, total)
 	return late >= fewestLate && 4*late > total, nil
 }
 
 // uploadSlowly sends a request whose body takes longer than the timeout of its route, and returns
 // the time until its answer begins.
 func (r *relay) uploadSlowly(key string) (status int, took time.Duration, err error) {
-	const pieces, interval, deadline = 40, 100 * time.Millisecond, 6 * time.Second
+	const pieces, interval, deadline = 40, 150 * time.Millisecond, 15 * time.Second
 	piece := strings.Repeat("p", 700)
 	conn, err := net.Dial("tcp4", r.front)
 	if err != nil {
@@ -84,8 +84,9 @@
 	defer func() { _ = conn.Close() }()
 	began := time.Now()
 	_ = conn.SetDeadline(began.Add(deadline))
-	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n%s: %s\r\nContent-Length: %d\r\n\r\n", reservePath, hostName,
-		names["request_id"], newID(), names["deadline"], deadline.Milliseconds(), names["credential"], key, pieces*len(piece))
+	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n%s: %s\r\n%s: m\r\n%s: 182040,600\r\n%s: %s\r\nContent-Length: %d\r\n\r\n", ledgerPath, hostName,
+		names["request_id"], newID(), names["deadline"], deadline.Milliseconds(), names["credential"], key, names["model"], names["tokens"],
+		names["parts"], ledgerParts(), pieces*len(piece))
 	if err != nil {
 		return 0, 0, err
 	}
@@ -111,3 +112,8 @@
 	_ = response.Body.Close()
 	return response.StatusCode, took, nil
 }
+
+// ledgerParts returns the prompt parts of a request of the size on the sheet.
+func ledgerParts() string {
+	return "5c1e07a2:40," + newID()[:8] + ":182000"
+}
